--- a/tests/harness/hot_set_model.hpp
+++ b/bench/hot_set_model.hpp
@@ -13,9 +13,9 @@
     std::size_t workers{7}; ///< of one pool
     std::size_t slices{171};
     std::size_t hot_keys{33};
-    double hot_share{0.5};      ///< of the load, on the hot keys
-    double total_work{4000.0};  ///< ms of work a second
-    double hot_seconds{180.0};  ///< after which all hot keys change
+    double hot_share{0.5};     ///< of the load, on the hot keys
+    double total_work{4000.0}; ///< ms of work a second
+    double hot_seconds{180.0}; ///< after which all hot keys change
     double run_seconds{3600.0};
     double interval_seconds{2.0};
 };
--- a/tests/harness/load.hpp
+++ b/bench/load.hpp
@@ -24,7 +24,7 @@
     std::string method;
     double weight{1.0}; ///< share of all requests, relative
     millis deadline{2000};
-    std::string prefix{"/v1"};  ///< empty: a direct call to a worker
+    std::string prefix{"/v1"};   ///< empty: a direct call to a worker
     std::string request_class{}; ///< empty: the first class of the service
 };
 
--- a/tests/harness/run_local.cpp
+++ b/bench/run_local.cpp
@@ -82,7 +82,8 @@
                       << item.target << '\n';
     std::cout << "  eelgrassrail --entry " << local.entries[0].operators << " status\n"
               << "  curl http://" << local.entries[0].operators << "/metrics\n"
-              << "Ctrl-C stops everything.\n";
+              << "Ctrl-C stops everything.\n"
+              << std::flush;
 }
 
 void wait_for_signal()
--- a/include/eelgrassrail/requests/dispatcher.hpp
+++ b/include/eelgrassrail/requests/dispatcher.hpp
@@ -155,7 +155,7 @@
         double work_ms{};
     };
 
-    // dispatcher.cpp: a request's life
+    // dispatcher.cpp: admission, queues, starts; dispatcher_results.cpp: how runs end
     [[nodiscard]] std::optional<answer> answer_without_run(const pending_request& item,
                                                            const request& value, instant now);
     void enqueue(pending_request& item, instant now);
@@ -171,7 +171,7 @@
     void refuse_waiting(error_kind kind, instant now);
     void strike(const pending_request& item, instant now);
 
-    // dispatcher_slices.cpp: servers, slices, grants, replication
+    // dispatcher_slices.cpp: slices, replication; dispatcher_workers.cpp: servers, grants
     void update_workers(const service_spec& spec, std::span<const std::string> workers,
                         instant now);
     void spread_slices(instant now);
--- a/include/eelgrassrail/requests/worker_view.hpp
+++ b/include/eelgrassrail/requests/worker_view.hpp
@@ -11,6 +11,9 @@
 namespace eelgrassrail
 {
 
+/// Length of one grant; a server whose grant is not renewed refuses requests after it.
+constexpr millis grant_length{1000};
+
 /// Whether a server gets work.
 enum class worker_condition : std::uint8_t
 {
@@ -27,11 +30,11 @@
     worker_condition condition{worker_condition::ready};
     work_queue queue;
     std::size_t running{};
-    std::uint64_t last_bound{};  ///< when it was chosen last, counted in choices
-    double share{1.0};        ///< 0 to 1: part of the slots that is used
-    double mean_run_ms{5.0};  ///< moving average of the run time
-    unsigned failures{};      ///< failed runs since the last success
-    std::uint64_t incident{}; ///< counts the losses and suspicions of this server
+    std::uint64_t last_bound{}; ///< when it was chosen last, counted in choices
+    double share{1.0};          ///< 0 to 1: part of the slots that is used
+    double mean_run_ms{5.0};    ///< moving average of the run time
+    unsigned failures{};        ///< failed runs since the last success
+    std::uint64_t incident{};   ///< counts the losses and suspicions of this server
     unsigned failed_probes{};
     bool probing{};
     instant next_probe{};
--- a/src/requests/dispatcher_slices.cpp
+++ b/src/requests/dispatcher_slices.cpp
@@ -1,4 +1,4 @@
-/// Servers and slices of a pool: moves, losses, grants, what the standbys are told.
+/// Slices of a pool: assignment, moves, releases, what the standbys are told.
 #include <eelgrassrail/requests/dispatcher.hpp>
 
 #include <algorithm>
@@ -6,17 +6,6 @@
 
 namespace eelgrassrail
 {
-namespace
-{
-
-constexpr millis grant_length{1000};
-constexpr millis grant_renewal{300};
-constexpr millis probe_interval{250};
-constexpr unsigned probes_for_loss = 2;
-constexpr double share_after_return = 0.34;
-
-} // namespace
-
 void dispatcher::configure(const service_spec& spec, std::span<const std::string> workers,
                            std::span<const slice_index> owned, std::optional<log_offset> lost_as_of,
                            instant now)
@@ -53,32 +42,6 @@
         spread_slices(now);
 }
 
-void dispatcher::update_workers(const service_spec& spec, std::span<const std::string> workers,
-                                instant now)
-{
-    for (const auto& id : workers)
-    {
-        const auto it = std::ranges::find(spec.workers, id, &worker_spec::id);
-        if (it == spec.workers.end())
-            continue;
-        const auto [entry, is_new] = m_workers.try_emplace(id);
-        auto& worker = entry->second;
-        if (is_new)
-            worker.granted_until = now + grant_length; // a former holder's grant may still run
-        if (worker.spec.address != it->address && worker.condition == worker_condition::lost)
-            worker.condition = worker_condition::ready;
-        worker.spec = *it;
-        worker.grant_due = true;
-        if (it->weight == 0)
-            worker.condition = worker_condition::leaving;
-        else if (worker.condition == worker_condition::leaving)
-            worker.condition = worker_condition::ready;
-    }
-    for (auto& [id, worker] : m_workers)
-        if (std::ranges::find(workers, id) == workers.end())
-            worker.condition = worker_condition::leaving;
-}
-
 /// Gives slices without a server to the server with the fewest, and a new server its part.
 void dispatcher::spread_slices(instant now)
 {
@@ -279,130 +242,6 @@
     m_outputs.released = std::exchange(m_lost_as_of, std::nullopt);
 }
 
-void dispatcher::suspect(worker_view& worker, instant now)
-{
-    if (worker.condition != worker_condition::ready)
-        return;
-    worker.condition = worker_condition::suspect;
-    worker.failed_probes = 0;
-    worker.next_probe = now;
-    send_probes(now);
-}
-
-void dispatcher::lose(worker_view& worker, instant now)
-{
-    if (worker.condition == worker_condition::lost)
-        return;
-    worker.condition = worker_condition::lost;
-    ++worker.incident;
-    ++m_counters.lost_servers;
-    evacuate(worker.spec.id, "no process answers", now);
-}
-
-void dispatcher::send_probes(instant now)
-{
-    for (auto& [id, worker] : m_workers)
-    {
-        const bool wants_probe = worker.condition == worker_condition::suspect ||
-                                 worker.condition == worker_condition::lost;
-        if (!wants_probe || worker.probing || now < worker.next_probe)
-            continue;
-        worker.probing = true;
-        worker.next_probe = now + probe_interval;
-        m_outputs.probes.push_back({id});
-    }
-}
-
-void dispatcher::on_probe(const std::string& server, probe_result result, instant now)
-{
-    const auto it = m_workers.find(server);
-    if (it == m_workers.end())
-        return;
-    auto& worker = it->second;
-    worker.probing = false;
-    if (result == probe_result::draining)
-        return set_leaving(server, now);
-    if (result == probe_result::alive && worker.condition != worker_condition::leaving)
-    {
-        if (worker.condition == worker_condition::lost)
-            m_outputs.events.push_back("Server " + server + " of " + to_text(m_pool) +
-                                       " answers again.");
-        if (worker.condition != worker_condition::ready)
-            worker.share = share_after_return;
-        ++worker.incident;
-        worker.condition = worker_condition::ready;
-        worker.failures = 0;
-        worker.failed_probes = 0;
-        worker.grant_due = true;
-        if (m_spec.keyed)
-            for (slice_index n = 0; n < m_slices.size(); ++n)
-                if (m_slices[n].owned && m_slices[n].moving_to.empty() &&
-                    !m_workers.contains(m_slices[n].server))
-                    begin_move(n, server, {}, now);
-        pump(worker, now);
-        return;
-    }
-    if (worker.condition != worker_condition::suspect)
-        return;
-    if (result == probe_result::refused || ++worker.failed_probes >= probes_for_loss)
-        lose(worker, now);
-    else
-        worker.next_probe = now;
-}
-
-void dispatcher::set_leaving(const std::string& server, instant now)
-{
-    const auto it = m_workers.find(server);
-    if (it == m_workers.end() || it->second.condition == worker_condition::leaving)
-        return;
-    it->second.condition = worker_condition::leaving;
-    evacuate(server, "it is leaving", now);
-}
-
-void dispatcher::send_grants(instant now)
-{
-    for (auto& [id, worker] : m_workers)
-    {
-        if (worker.condition == worker_condition::lost ||
-            (!worker.grant_due && now < worker.next_grant))
-            continue;
-        grant_order grant{id, {m_epoch, ++m_grant_count}, {}, grant_length};
-        for (slice_index n = 0; n < m_slices.size(); ++n)
-        {
-            const auto& slice = m_slices[n];
-            const bool is_his = !m_spec.keyed || (slice.server == id && slice.moving_to.empty());
-            // A slice that drains keeps its grant until its work has ended.
-            const bool is_draining = slice.server == id && slice.running > 0;
-            if ((slice.owned && is_his) || is_draining)
-                grant.slices.push_back(n);
-        }
-        worker.grant_due = false;
-        worker.next_grant = now + grant_renewal;
-        worker.granted_until = std::max(worker.granted_until, now + grant_length);
-        m_outputs.grants.push_back(std::move(grant));
-    }
-}
-
-void dispatcher::on_grant(const grant_order& grant, bool acknowledged, instant sent, instant now)
-{
-    const auto it = m_workers.find(grant.server);
-    if (it == m_workers.end())
-        return;
-    auto& worker = it->second;
-    if (!acknowledged)
-    {
-        suspect(worker, now);
-        return;
-    }
-    if (grant.token < worker.granted)
-        return;
-    worker.grant_unknown = false;
-    worker.granted = grant.token;
-    worker.granted_slices = {grant.slices.begin(), grant.slices.end()};
-    worker.acknowledged_until = std::max(worker.acknowledged_until, sent + grant.length);
-    pump(worker, now);
-}
-
 void dispatcher::flush_delta()
 {
     if (m_delta.entries.empty() && m_delta.owners.empty() && !m_delta_needs_ack)
--- a/tests/fakes/ownership_world.hpp
+++ b/tests/fakes/ownership_world.hpp
@@ -21,6 +21,9 @@
 namespace eelgrassrail::fakes
 {
 
+/// Slices of the world's service.
+constexpr std::uint32_t slice_count = 4;
+
 /// Which faults a session may have.
 struct world_faults
 {
--- a/tests/src/unit-fold.cpp
+++ b/tests/src/unit-fold.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(only_named_standbys_claim_by_silence);
     CPPUNIT_TEST(a_wait_is_inherited_by_the_next_claim);
     CPPUNIT_TEST(a_shorter_lease_keeps_the_longer_wait);
+    CPPUNIT_TEST(a_late_copy_of_an_appointment_brings_nobody_back);
     CPPUNIT_TEST(unreadable_records_change_nothing_but_the_offset);
     CPPUNIT_TEST(mutated_records_never_stop_the_fold);
     CPPUNIT_TEST(a_snapshot_restores_the_state);
@@ -126,6 +127,18 @@
         CPPUNIT_ASSERT_EQUAL(std::uint32_t{600 + lease_margin_ms}, state.pools[0].wait_ms);
     }
 
+    void a_late_copy_of_an_appointment_brings_nobody_back()
+    {
+        auto state = one_service();
+        const auto id = state.pools[0].id;
+        const auto named = record_text("b", appointment{id, 2, 1, {second_holder}});
+        fold_all(state, {record_text("a", claim{id, 0, first_holder, {}, claim_evidence::unheld}),
+                         named, record_text("c", appointment{id, 2, 2, {}})});
+        CPPUNIT_ASSERT_EQUAL(std::string("based on the appointment at 1, current is the one at 3"),
+                             fold_all(state, {named}));
+        CPPUNIT_ASSERT(state.pools[0].standbys.empty());
+    }
+
     void unreadable_records_change_nothing_but_the_offset()
     {
         auto state = one_service();
