--- a/bench/measure_ownership.cpp
+++ b/bench/measure_ownership.cpp
@@ -93,6 +93,7 @@
     for (const auto& [kind, name] : losses)
     {
         std::vector<double> runs;
+        runs.reserve(static_cast<std::size_t>(FLAGS_runs));
         for (int n = 0; n < FLAGS_runs; ++n)
             runs.push_back(unserved_after(kind));
         table.at_most("unserved after the loss of " + name, most_unserved_s, median(runs), "s");
@@ -149,6 +150,8 @@
     };
     std::vector<double> plain;
     std::vector<double> cut;
+    plain.reserve(static_cast<std::size_t>(FLAGS_runs));
+    cut.reserve(static_cast<std::size_t>(FLAGS_runs));
     for (int n = 0; n < FLAGS_runs; ++n)
         plain.push_back(publish(0));
     const std::string faults = R"({"cut_zones":[],"cut_platform":true})";
@@ -243,7 +246,7 @@
             measure_tickets(table);
         }
         if (FLAGS_scale)
-            for (const std::size_t entries : {1, 4, 16, 67})
+            for (const std::size_t entries : {1UL, 4UL, 16UL, 67UL})
                 measure_scale(table, entries);
         return table.all_hold() ? 0 : 1;
     }
--- /dev/null
+++ b/tests/src/unit-agent.cpp
@@ -0,0 +1,91 @@
+/// The ownership agent as a holder: what counts as a clean read, and the end by handover.
+#include "support.hpp"
+#include <eelgrassrail/ownership/agent.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace eelgrassrail;
+using namespace eelgrassrail::test;
+
+namespace
+{
+
+const process_id self{"vm-1", 1, "zone-a", "127.0.0.1:1"};
+const process_id other{"vm-2", 2, "zone-a", "127.0.0.1:2"};
+const pool_id pool{"orders", "zone-a", 0};
+
+/// An agent that holds the pool, with the records that it has read.
+struct holding_agent
+{
+    holding_agent()
+        : agent(self, {})
+    {
+        read({record_text("t1", make_ticket(make_service("orders", {"zone-a"})))});
+        agent.tick(now);
+        read_own();
+        agent.tick(now);
+        read_own();
+    }
+
+    void read(std::vector<std::string> records)
+    {
+        const auto first = agent.state().next;
+        const auto head = first + records.size();
+        agent.on_log_page({0, first, head, std::move(records)}, now, now);
+    }
+
+    void read_own()
+    {
+        std::vector<std::string> records;
+        for (const auto& order : agent.take_outputs().appends)
+            records.push_back(order.text);
+        read(std::move(records));
+    }
+
+    instant now{start_time};
+    ownership_agent agent;
+};
+
+} // namespace
+
+class unit_agent : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(unit_agent);
+    CPPUNIT_TEST(it_claims_and_holds_a_pool_that_nobody_holds);
+    CPPUNIT_TEST(a_page_that_ends_before_the_head_renews_nothing);
+    CPPUNIT_TEST(it_stops_acting_before_it_hands_over);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    void it_claims_and_holds_a_pool_that_nobody_holds()
+    {
+        const holding_agent holder;
+        CPPUNIT_ASSERT(holder.agent.may_act(pool, start_time + millis(599)));
+        CPPUNIT_ASSERT(!holder.agent.may_act(pool, start_time + millis(600)));
+    }
+
+    void a_page_that_ends_before_the_head_renews_nothing()
+    {
+        holding_agent holder;
+        const auto later = start_time + millis(300);
+        const auto next = holder.agent.state().next;
+        holder.agent.on_log_page({0, next, next + 5, {}}, later, later);
+        CPPUNIT_ASSERT(!holder.agent.may_act(pool, start_time + millis(600)));
+        holder.agent.on_log_page({0, next, next, {}}, later, later);
+        CPPUNIT_ASSERT(holder.agent.may_act(pool, start_time + millis(600)));
+    }
+
+    void it_stops_acting_before_it_hands_over()
+    {
+        holding_agent holder;
+        const auto* state = find_pool(holder.agent.state(), pool);
+        holder.read({record_text("a", appointment{pool, state->epoch, state->appointed, {other}})});
+        CPPUNIT_ASSERT(holder.agent.may_act(pool, holder.now));
+        CPPUNIT_ASSERT(holder.agent.hand_over(pool, holder.now));
+        CPPUNIT_ASSERT(!holder.agent.may_act(pool, holder.now));
+        holder.read_own();
+        CPPUNIT_ASSERT(find_pool(holder.agent.state(), pool)->holder == other);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(unit_agent);
