--- a/tests/src/unit-agent.cpp
+++ b/tests/src/unit-agent.cpp
@@ -54,6 +54,7 @@
     CPPUNIT_TEST(it_claims_and_holds_a_pool_that_nobody_holds);
     CPPUNIT_TEST(a_page_that_ends_before_the_head_renews_nothing);
     CPPUNIT_TEST(it_stops_acting_before_it_hands_over);
+    CPPUNIT_TEST(an_old_vm_list_is_no_evidence);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -75,6 +76,24 @@
         CPPUNIT_ASSERT(holder.agent.may_act(pool, start_time + millis(600)));
     }
 
+    void an_old_vm_list_is_no_evidence()
+    {
+        ownership_agent third({"vm-3", 3, "zone-a", "127.0.0.1:3"}, {});
+        const std::vector<std::string> records{
+            record_text("t1", make_ticket(make_service("orders", {"zone-a"}))),
+            record_text("a", claim{pool, 0, self, {}, claim_evidence::unheld}),
+            record_text("b", activation{pool, 2})};
+        third.on_log_page({0, 0, records.size(), records}, start_time, start_time);
+        const listed_vm holder{"vm-1", "zone-a", "127.0.0.1:1", false};
+        third.on_vm_list(std::vector{holder}, start_time);
+        third.on_vm_list(std::vector<listed_vm>{}, start_time + millis(1000));
+        third.tick(start_time + millis(9000));
+        CPPUNIT_ASSERT(third.take_outputs().appends.empty());
+        third.on_vm_list(std::vector<listed_vm>{}, start_time + millis(9000));
+        third.tick(start_time + millis(9500));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, third.take_outputs().appends.size());
+    }
+
     void it_stops_acting_before_it_hands_over()
     {
         holding_agent holder;
