Relinquish also before the own appointment was read

The session stops the platform as soon as one entry shows two standbys for each pool; a standby that has not read its appointment by then has no duty and did not answer the holder's question, so the lease ran out for the whole outage. The new unit test was red before the change.

Change: a process whose fold shows the asked epoch gives the relinquishment also if it is not named as a standby yet. It is a promise not to claim by silence, so giving it too often is safe.

Ruled out: waiting in the session until all entries have read the log; the gap is the same for users.

Conclusion: an outage that begins within a read of an appointment no longer costs the lease. A process that has not read the claim of the epoch still can not relinquish.

--- a/include/eelgrassrail/ownership/agent.hpp
+++ b/include/eelgrassrail/ownership/agent.hpp
@@ -157,7 +157,7 @@
     bool m_have_read{}; ///< at least one clean read or installed state
 
     std::map<pool_id, held_pool> m_held;       ///< invariant: holder in `m_state` is this process
-    std::map<pool_id, standby_duty> m_duties;  ///< invariant: it was a standby in this epoch
+    std::map<pool_id, standby_duty> m_duties;  ///< invariant: of the pools' current epochs
     std::map<std::string, open_append> m_open; ///< records that are not met yet, by id
     std::map<pool_id, instant> m_unheld;       ///< when a pool was first seen without a holder
     std::map<pool_id, instant> m_unreachable;  ///< since when a holder could not be reached
--- a/src/ownership/agent.cpp
+++ b/src/ownership/agent.cpp
@@ -214,10 +214,14 @@
         it->second = now;
 }
 
-void ownership_agent::receive(const relinquish_request& message, instant /*now*/)
+void ownership_agent::receive(const relinquish_request& message, instant now)
 {
-    const auto duty = m_duties.find(message.pool);
-    if (duty == m_duties.end() || !duty->second.relinquish(message.epoch, message.number))
+    // Also a process that has not read its appointment yet may give up its right to claim.
+    const auto* pool = find_pool(m_state, message.pool);
+    if (pool == nullptr || pool->epoch != message.epoch)
+        return;
+    const auto duty = m_duties.try_emplace(message.pool, message.epoch, now).first;
+    if (!duty->second.relinquish(message.epoch, message.number))
         return;
     m_outputs.messages.push_back(
         {message.from.address,
--- a/tests/src/unit-agent.cpp
+++ b/tests/src/unit-agent.cpp
@@ -55,6 +55,7 @@
     CPPUNIT_TEST(a_page_that_ends_before_the_head_renews_nothing);
     CPPUNIT_TEST(it_stops_acting_before_it_hands_over);
     CPPUNIT_TEST(an_old_vm_list_is_no_evidence);
+    CPPUNIT_TEST(it_relinquishes_before_it_has_read_its_appointment);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -94,6 +95,19 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, third.take_outputs().appends.size());
     }
 
+    void it_relinquishes_before_it_has_read_its_appointment()
+    {
+        ownership_agent third({"vm-3", 3, "zone-a", "127.0.0.1:3"}, {});
+        const std::vector<std::string> records{
+            record_text("t1", make_ticket(make_service("orders", {"zone-a"}))),
+            record_text("a", claim{pool, 0, self, {}, claim_evidence::unheld})};
+        third.on_log_page({0, 0, records.size(), records}, start_time, start_time);
+        third.on_message(relinquish_request{self, pool, 2, 1}, start_time);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, third.take_outputs().messages.size());
+        third.on_message(relinquish_request{self, pool, 9, 1}, start_time);
+        CPPUNIT_ASSERT(third.take_outputs().messages.empty());
+    }
+
     void it_stops_acting_before_it_hands_over()
     {
         holding_agent holder;
