Split the peers' frames from their calls; one main for both measurements

Change: peers/detail/frame_io with read_frame and frame_writer; run_measurement in bench/figure_table.hpp.

--- a/bench/figure_table.hpp
+++ b/bench/figure_table.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdio>
+#include <exception>
 #include <iostream>
 #include <string>
 
@@ -53,4 +54,23 @@
     bool m_all_hold{true};
 };
 
+/// @brief Runs a measuring program.
+/// @return 0 if all figures hold, 1 if one is short, 2 if a measurement could not be made
+template <class Measure>
+int run_measurement(const std::string& program, Measure measure)
+{
+    try
+    {
+        figure_table table;
+        std::cout << "name | target | measured | holds or short" << std::endl;
+        measure(table);
+        return table.all_hold() ? 0 : 1;
+    }
+    catch (const std::exception& e)
+    {
+        std::cerr << program << ": " << e.what() << '\n';
+        return 2;
+    }
+}
+
 } // namespace eelgrassrail::harness
--- a/bench/measure_ownership.cpp
+++ b/bench/measure_ownership.cpp
@@ -234,25 +234,18 @@
 int main(int argc, char** argv)
 {
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    try
-    {
-        figure_table table;
-        std::cout << "name | target | measured | holds or short" << std::endl;
-        if (FLAGS_losses)
-        {
-            measure_hot_set(table);
-            measure_losses(table);
-            measure_churn(table);
-            measure_tickets(table);
-        }
-        if (FLAGS_scale)
-            for (const std::size_t entries : {1UL, 4UL, 16UL, 67UL})
-                measure_scale(table, entries);
-        return table.all_hold() ? 0 : 1;
-    }
-    catch (const std::exception& e)
-    {
-        std::cerr << "measure_ownership: " << e.what() << '\n';
-        return 2;
-    }
+    return run_measurement("measure_ownership",
+                           [](figure_table& table)
+                           {
+                               if (FLAGS_losses)
+                               {
+                                   measure_hot_set(table);
+                                   measure_losses(table);
+                                   measure_churn(table);
+                                   measure_tickets(table);
+                               }
+                               if (FLAGS_scale)
+                                   for (const std::size_t entries : {1UL, 4UL, 16UL, 67UL})
+                                       measure_scale(table, entries);
+                           });
 }
--- a/bench/measure_requests.cpp
+++ b/bench/measure_requests.cpp
@@ -227,23 +227,17 @@
 int main(int argc, char** argv)
 {
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    try
-    {
-        figure_table table;
-        std::cout << "name | target | measured | holds or short" << std::endl;
-        measure_latency(table);
-        measure_overload(table);
-        measure_spread(table, "Ice Authority", ice_plan(), "windows", "GET", 20);
-        measure_spread(table, "Ice Authority", ice_plan(), "contracts", "POST", 12);
-        measure_spread(table, "Records Division", ride_plan(), "certificates", "GET", 18);
-        measure_spread(table, "Records Division", ride_plan(), "renewals", "POST", 9);
-        measure_entry_cost(table);
-        measure_rolling(table);
-        return table.all_hold() ? 0 : 1;
-    }
-    catch (const std::exception& e)
-    {
-        std::cerr << "measure_requests: " << e.what() << '\n';
-        return 2;
-    }
+    return run_measurement(
+        "measure_requests",
+        [](figure_table& table)
+        {
+            measure_latency(table);
+            measure_overload(table);
+            measure_spread(table, "Ice Authority", ice_plan(), "windows", "GET", 20);
+            measure_spread(table, "Ice Authority", ice_plan(), "contracts", "POST", 12);
+            measure_spread(table, "Records Division", ride_plan(), "certificates", "GET", 18);
+            measure_spread(table, "Records Division", ride_plan(), "renewals", "POST", 9);
+            measure_entry_cost(table);
+            measure_rolling(table);
+        });
 }
--- a/src/peers/peer_network.cpp
+++ b/src/peers/peer_network.cpp
@@ -1,23 +1,17 @@
 /// TCP calls with numbered answers, and UDP datagrams.
+#include <eelgrassrail/peers/detail/frame_io.hpp>
 #include <eelgrassrail/peers/peer_network.hpp>
 #include <eelgrassrail/settings/net_address.hpp>
 
-#include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/experimental/awaitable_operators.hpp>
-#include <boost/asio/read.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
-#include <boost/endian/conversion.hpp>
 
 #include <array>
-#include <deque>
 #include <map>
-#include <vector>
 
 namespace eelgrassrail
 {
@@ -25,86 +19,15 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 using asio::ip::udp;
+using detail::frame_writer;
+using detail::read_frame;
+using detail::with_prefix;
 
 namespace
 {
 
 constexpr millis connect_timeout{300};
-constexpr std::size_t max_queued_bytes = 32UL * 1024UL * 1024;
 constexpr std::size_t max_datagram = 2048;
-constexpr std::size_t prefix_bytes = 4;
-
-std::string with_prefix(const std::string& payload)
-{
-    std::string result(prefix_bytes, '\0');
-    boost::endian::store_big_u32(reinterpret_cast<unsigned char*>(result.data()),
-                                 static_cast<std::uint32_t>(payload.size()));
-    return result + payload;
-}
-
-asio::awaitable<std::optional<peer_frame>> read_frame(tcp::socket& socket, peer_traffic& traffic)
-{
-    boost::system::error_code ec;
-    std::array<unsigned char, prefix_bytes> prefix{};
-    co_await asio::async_read(socket, asio::buffer(prefix),
-                              asio::redirect_error(asio::use_awaitable, ec));
-    const auto length = boost::endian::load_big_u32(prefix.data());
-    if (ec.failed() || length > max_frame_bytes)
-        co_return std::nullopt;
-    std::vector<char> payload(length);
-    co_await asio::async_read(socket, asio::buffer(payload),
-                              asio::redirect_error(asio::use_awaitable, ec));
-    if (ec.failed())
-        co_return std::nullopt;
-    traffic.received_bytes += prefix_bytes + length;
-    co_return decode_frame(payload);
-}
-
-/// Writes queued frames one after the other.
-class frame_writer
-{
-  public:
-    explicit frame_writer(std::shared_ptr<tcp::socket> socket)
-        : m_socket(std::move(socket))
-    {
-    }
-
-    bool push(std::string bytes)
-    {
-        if (m_bytes + bytes.size() > max_queued_bytes)
-            return false;
-        m_bytes += bytes.size();
-        m_queue.push_back(std::move(bytes));
-        return true;
-    }
-
-    /// @brief Writes until the queue is empty; call it when it is not running.
-    asio::awaitable<bool> drain(peer_traffic& traffic)
-    {
-        m_running = true;
-        boost::system::error_code ec;
-        while (!m_queue.empty() && !ec.failed())
-        {
-            const auto bytes = std::move(m_queue.front());
-            m_queue.pop_front();
-            m_bytes -= bytes.size();
-            traffic.sent_bytes += bytes.size();
-            co_await asio::async_write(*m_socket, asio::buffer(bytes),
-                                       asio::redirect_error(asio::use_awaitable, ec));
-        }
-        m_running = false;
-        co_return !ec.failed();
-    }
-
-    [[nodiscard]] bool is_running() const noexcept { return m_running; }
-    [[nodiscard]] tcp::socket& socket() noexcept { return *m_socket; }
-
-  private:
-    std::shared_ptr<tcp::socket> m_socket;
-    std::deque<std::string> m_queue;
-    std::size_t m_bytes{};
-    bool m_running{};
-};
 
 /// A call that waits for its answer.
 struct waiting_call
