--- a/include/eelgrassrail/core/error_kind.hpp
+++ b/include/eelgrassrail/core/error_kind.hpp
@@ -52,7 +52,10 @@
     deadline_while_running,
     invalid_server_answer,
     earlier_outcome_unknown,
-    history_incomplete
+    history_incomplete,
+    unknown_route,
+    no_routes,
+    withheld
 };
 BOOST_DESCRIBE_ENUM(error_kind, none, malformed_request, header_too_large, body_too_large,
                     unknown_service, unknown_class, unsupported_method, missing_key, key_too_long,
@@ -60,7 +63,8 @@
                     idempotency_key_reused, tenant_limit, overloaded, deadline_passed, no_owner,
                     not_holder, server_refused, no_server, quarantined, stopping, peer_unreachable,
                     answer_lost, server_lost, deadline_while_running, invalid_server_answer,
-                    earlier_outcome_unknown, history_incomplete)
+                    earlier_outcome_unknown, history_incomplete, unknown_route, no_routes,
+                    withheld)
 
 /// One row of the table from error kind to answer.
 struct error_row
--- /dev/null
+++ b/include/eelgrassrail/grants/key_load.hpp
@@ -0,0 +1,48 @@
+/// Requests a second of each key, over the last seconds.
+#pragma once
+
+#include <eelgrassrail/core/clock.hpp>
+#include <eelgrassrail/grants/key_slice.hpp>
+
+#include <cstdint>
+#include <vector>
+
+namespace eelgrassrail
+{
+
+/// Exponentially decaying counts of all keys of one service.
+class key_load
+{
+  public:
+    /// @param memory after this time a request counts 1/e
+    explicit key_load(millis memory, instant start);
+
+    /// @brief Counts requests for a key.
+    void add(std::uint32_t key, double requests = 1.0);
+
+    /// @brief Lets the counts decay up to an instant and sums them up for `rate`.
+    /// @complexity linear in the number of keys
+    void settle(instant now);
+
+    /// @brief Requests a second for a range of keys, as of the last `settle`.
+    /// @param last inclusive
+    /// @complexity constant
+    [[nodiscard]] double rate(std::uint32_t first, std::uint32_t last) const noexcept
+    {
+        return m_sums[last + 1] - m_sums[first];
+    }
+
+    /// @brief Smallest key at or above `first` up to which the rate reaches the wanted one.
+    /// @return `last` if the whole range stays below it
+    [[nodiscard]] std::uint32_t reach(std::uint32_t first, std::uint32_t last,
+                                      double wanted) const;
+
+  private:
+    millis m_memory;
+    instant m_start;
+    instant m_settled;
+    std::vector<float> m_counts;
+    std::vector<double> m_sums; ///< m_sums[k]: rate of all keys below k
+};
+
+} // namespace eelgrassrail
--- a/include/eelgrassrail/http/client.hpp
+++ b/include/eelgrassrail/http/client.hpp
@@ -23,12 +23,24 @@
     invalid      ///< the response was malformed, cut or too large
 };
 
+/// How one exchange is to be made.
+struct exchange_options
+{
+    instant until;                       ///< the exchange is given up at this instant
+    std::function<bool()> may_write{};   ///< asked last before the first byte; false: not written
+    std::uint64_t label{};               ///< name for `cancel`; 0 for none
+    std::function<bool(const http_reply&)> is_answer{}; ///< false: a reply of an earlier exchange
+    millis longest_idle{millis::max()};  ///< a kept connection idle for longer is not used
+};
+
 /// Result of one exchange.
 struct http_exchange
 {
     exchange_result result{exchange_result::not_written};
+    bool reused{}; ///< the request went over a kept connection
     bool refused{}; ///< the peer refused the connection: no process listens
     bool cancelled{};
+    bool keeps{}; ///< the connection can carry another request
     http_reply reply;
 };
 
@@ -53,6 +65,18 @@
                                                    std::function<bool()> may_write = {},
                                                    std::uint64_t label = 0);
 
+    /// @brief As above, with all options.
+    boost::asio::awaitable<http_exchange> exchange(http_call call, exchange_options options);
+
+    /// @brief Sets the most open connections.
+    void set_limit(std::size_t connections) noexcept;
+
+    /// @brief Sets how long a connection is kept idle where the peer does not say it.
+    void set_keep_time(millis keep) noexcept;
+
+    /// @brief Connections that were opened so far.
+    [[nodiscard]] std::uint64_t opened() const noexcept;
+
     /// @brief Closes the connection of a running exchange.
     void cancel(std::uint64_t label);
 
--- a/include/eelgrassrail/http/listener.hpp
+++ b/include/eelgrassrail/http/listener.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <eelgrassrail/core/clock.hpp>
+#include <eelgrassrail/http/caller_watch.hpp>
 #include <eelgrassrail/http/message.hpp>
 
 #include <boost/asio/awaitable.hpp>
@@ -23,8 +24,9 @@
     millis idle_timeout{60'000};   ///< between two requests of a connection
 };
 
-/// Answers one request.
-using http_handler = std::function<boost::asio::awaitable<http_reply>(http_call)>;
+/// Answers one request. The watch tells whether the caller still waits.
+using http_handler = std::function<boost::asio::awaitable<http_reply>(
+    http_call, std::shared_ptr<caller_watch>)>;
 
 /// Makes the reply for a request that can not be parsed.
 using http_error_handler = std::function<http_reply(bool header_too_large, bool body_too_large)>;
@@ -45,6 +47,12 @@
     /// @brief Accepts from now on.
     void start();
 
+    /// @brief Goes on accepting; each connection is closed after its next answer.
+    void drain();
+
+    /// @brief Replaces the limits of requests that start from now on.
+    void set_limits(const http_limits& limits);
+
     /// @brief Accepts no more connections; idle ones are closed, busy ones after their answer.
     void stop();
 
--- a/include/eelgrassrail/http/platform_http.hpp
+++ b/include/eelgrassrail/http/platform_http.hpp
@@ -5,7 +5,7 @@
 #pragma once
 
 #include <eelgrassrail/http/client.hpp>
-#include <eelgrassrail/platform/log_service.hpp>
+#include <eelgrassrail/log/log_service.hpp>
 
 namespace eelgrassrail
 {
--- /dev/null
+++ b/include/eelgrassrail/router/change_signal.hpp
@@ -0,0 +1,35 @@
+/// Wakes tasks that wait for a change of shared state.
+#pragma once
+
+#include <eelgrassrail/core/clock.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <set>
+
+namespace eelgrassrail
+{
+
+/// A condition of one thread.
+class change_signal
+{
+  public:
+    explicit change_signal(boost::asio::any_io_executor executor)
+        : m_executor(std::move(executor))
+    {
+    }
+
+    /// @brief Waits until the next `notify`, at most for a time.
+    boost::asio::awaitable<void> wait(boot_clock::duration longest);
+
+    /// @brief Wakes all tasks that wait now.
+    void notify();
+
+  private:
+    boost::asio::any_io_executor m_executor;
+    std::set<boost::asio::steady_timer*> m_waiting;
+};
+
+} // namespace eelgrassrail
--- /dev/null
+++ b/include/eelgrassrail/router/router_message.hpp
@@ -0,0 +1,111 @@
+/// Messages between the processes of the router.
+#pragma once
+
+#include <eelgrassrail/grants/ownership_record.hpp>
+#include <eelgrassrail/registry/worker_change.hpp>
+
+#include <boost/describe/class.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace eelgrassrail
+{
+
+/// What one process has seen of one worker since its last report.
+struct worker_sight
+{
+    std::string id;
+    std::uint32_t in_flight{};      ///< requests that it has at the worker now
+    std::uint32_t failures{};       ///< answers that were no whole answer, or a failure's
+    std::vector<std::uint16_t> times_ms; ///< of the requests that were answered
+};
+BOOST_DESCRIBE_STRUCT(worker_sight, (), (id, in_flight, failures, times_ms))
+
+/// Requests for keys of one service since the last report.
+struct key_sight
+{
+    std::string service;
+    std::vector<std::uint16_t> keys; ///< one for each request
+};
+BOOST_DESCRIBE_STRUCT(key_sight, (), (service, keys))
+
+/// A request that was running when a worker was lost, or that is refused for it.
+struct crash_sight
+{
+    std::uint64_t fingerprint{};
+    std::string worker;
+};
+BOOST_DESCRIBE_STRUCT(crash_sight, (), (fingerprint, worker))
+
+/// Sent to the coordinator over UDP; it may be lost.
+struct entry_report
+{
+    coordinator_identity sender;
+    std::uint64_t sequence{};
+    bool is_leaving{};
+    std::uint64_t routes_version{};
+    std::uint32_t age_ms{}; ///< since the platform's streams were last read to their ends
+    std::vector<worker_sight> workers;
+    std::vector<key_sight> keys;
+    std::vector<crash_sight> crashes;
+};
+BOOST_DESCRIBE_STRUCT(entry_report, (), (sender, sequence, is_leaving, routes_version, age_ms, workers, keys, crashes))
+
+/// The coordinator's sum of all reports on one worker.
+struct worker_use
+{
+    std::string id;
+    std::uint32_t in_flight{};
+    std::uint32_t typical_ms{}; ///< low quartile of its answers' times; 0: unknown
+};
+BOOST_DESCRIBE_STRUCT(worker_use, (), (id, in_flight, typical_ms))
+
+/// A change of ownership of one service.
+struct slice_change
+{
+    std::uint64_t version{};
+    std::string service;
+    key_slice slice;
+};
+BOOST_DESCRIBE_STRUCT(slice_change, (), (version, service, slice))
+
+/// Sent by the coordinator to each process over UDP; it may be lost.
+struct coordinator_push
+{
+    coordinator_identity sender;
+    std::uint64_t ownership_version{};
+    std::uint64_t ownership_base{}; ///< the changes below follow this version without a gap
+    std::vector<slice_change> ownership;
+    std::uint64_t routes_version{};
+    std::uint64_t workers_revision{}; ///< of the sender's registry
+    std::uint64_t workers_base{};     ///< the changes below are all that came after this revision
+    std::uint64_t workers_end{};      ///< offset up to which the stream was read
+    std::vector<worker_change> workers;
+    std::uint32_t age_ms{}; ///< since the platform's streams were last read to their ends
+    bool wants_successor{}; ///< the store serves others, but not the coordinator
+    std::vector<worker_use> use;
+    std::vector<std::string> peers; ///< addresses of all processes that report
+    std::vector<crash_sight> crashes;
+};
+BOOST_DESCRIBE_STRUCT(coordinator_push, (),
+                      (sender, ownership_version, ownership_base, ownership, routes_version,
+                       workers_revision, workers_base, workers_end, workers, age_ms, wants_successor, use, peers, crashes))
+
+/// The whole state of a process, for one that starts or has missed changes.
+struct state_copy
+{
+    ownership_record ownership;
+    std::uint64_t routes_version{};
+    std::string routes_text; ///< as the platform's store holds it
+    std::vector<worker_change> workers; ///< all that are known, removed ones too
+    std::uint64_t workers_revision{};
+    std::uint64_t workers_end{};
+    std::uint32_t age_ms{};
+};
+BOOST_DESCRIBE_STRUCT(state_copy, (),
+                      (ownership, routes_version, routes_text, workers, workers_revision,
+                       workers_end, age_ms))
+
+} // namespace eelgrassrail
--- /dev/null
+++ b/include/eelgrassrail/router/router_process.hpp
@@ -0,0 +1,54 @@
+/// One process of the router: its tasks, from start to planned stop.
+#pragma once
+
+#include <eelgrassrail/http/listener.hpp>
+#include <eelgrassrail/router/key_coordinator.hpp>
+#include <eelgrassrail/router/peer_link.hpp>
+#include <eelgrassrail/router/request_path.hpp>
+#include <eelgrassrail/router/router_state.hpp>
+#include <eelgrassrail/router/stream_reader.hpp>
+#include <eelgrassrail/router/worker_links.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+namespace eelgrassrail
+{
+
+/// Puts the parts together. Everything runs on the thread of the context.
+class router_process
+{
+  public:
+    /// @throws boost::system::system_error if an address can not be bound
+    router_process(boost::asio::io_context& context, router_settings settings, platform_calls calls,
+                   wire_format format);
+
+    void start();
+
+    /// @brief Planned stop: no new connections after a while, nothing that runs is cut. The context
+    /// is stopped at its end.
+    void begin_stop();
+
+  private:
+    boost::asio::awaitable<void> report();
+    boost::asio::awaitable<void> stop();
+    boost::asio::awaitable<void> pause(millis time);
+    boost::asio::awaitable<void> fetch_copy(coordinator_identity from);
+    void take_push(const coordinator_push& push);
+    void apply_limits();
+    [[nodiscard]] bool reads_streams() const;
+    [[nodiscard]] http_reply readiness() const;
+
+    boost::asio::io_context& m_context;
+    router_state m_state;
+    worker_links m_links;
+    request_path m_path;
+    peer_link m_peers;
+    stream_reader m_reader;
+    key_coordinator m_coordinator;
+    http_listener m_callers;
+    http_listener m_ready;
+    std::uint64_t m_limits_version{};
+    std::uint64_t m_report_sequence{};
+};
+
+} // namespace eelgrassrail
--- /dev/null
+++ b/include/eelgrassrail/router/worker_links.hpp
@@ -0,0 +1,45 @@
+/// The links to all workers that this process has used.
+#pragma once
+
+#include <eelgrassrail/registry/worker_registry.hpp>
+#include <eelgrassrail/router/worker_link.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace eelgrassrail
+{
+
+/// Links by worker id. A worker that comes back at another address gets a new link.
+class worker_links
+{
+  public:
+    explicit worker_links(boost::asio::any_io_executor executor)
+        : m_executor(std::move(executor))
+    {
+    }
+
+    /// @brief The link to a worker; it is made if there is none.
+    /// @return nothing if the worker's address can not be read
+    std::shared_ptr<worker_link> get(const worker_entry& worker);
+
+    /// @brief The link to a worker, if there is one.
+    [[nodiscard]] std::shared_ptr<worker_link> find(std::string_view id) const;
+
+    /// @brief Sets the most connections of one link.
+    void set_limit(std::size_t connections);
+
+    /// @brief Closes links that were not used for a time.
+    void close_unused(instant before);
+
+    void for_each(const std::function<void(worker_link&)>& call);
+
+  private:
+    boost::asio::any_io_executor m_executor;
+    std::size_t m_limit{8};
+    std::map<std::string, std::shared_ptr<worker_link>, std::less<>> m_links;
+};
+
+} // namespace eelgrassrail
--- a/src/core/error_kind.cpp
+++ b/src/core/error_kind.cpp
@@ -50,6 +50,9 @@
               "an earlier attempt with this Idempotency-Key may have run"},
     error_row{history_incomplete, 503, unknown, true,
               "the lease moved without its history; an earlier attempt may have run"},
+    error_row{unknown_route, 404, not_run, false, "no route of the host matches the path"},
+    error_row{no_routes, 503, not_run, true, "this process does not know the routes yet"},
+    error_row{withheld, 503, not_run, false, "the request was running when servers were lost"},
 };
 
 constexpr std::size_t longest_name = 32;
--- /dev/null
+++ b/src/grants/claim_policy.cpp
@@ -0,0 +1,18 @@
+/// Silence and rank.
+#include <eelgrassrail/grants/claim_policy.hpp>
+
+namespace eelgrassrail
+{
+
+bool should_claim(const coordinator_evidence& evidence, instant now) noexcept
+{
+    if (evidence.was_own_address)
+        return true;
+    const auto stagger = claim_stagger * static_cast<std::int64_t>(evidence.rank);
+    if (evidence.successor_wanted != instant{})
+        return now >= evidence.successor_wanted + stagger;
+    const auto silence = evidence.is_on_record ? coordinator_silence : millis(0);
+    return now >= evidence.last_heard + silence + stagger;
+}
+
+} // namespace eelgrassrail
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
+#include <charconv>
 #include <map>
 #include <vector>
 
@@ -33,8 +34,36 @@
 
     beast::tcp_stream stream;
     beast::flat_buffer buf;
+    instant idle_since{};
+    instant keep_until{}; ///< the peer may close it at any time after this
 };
 
+/// Bytes that wait behind a network partition must not arrive later, so the peer gets a reset.
+void abandon(connection& broken)
+{
+    beast::error_code ec;
+    broken.stream.socket().set_option(asio::socket_base::linger(true, 0), ec);
+    broken.stream.socket().close(ec);
+}
+
+/// The part of the time that the peer says it keeps an idle connection after which ours is closed.
+constexpr double keep_share = 0.7;
+
+std::optional<millis> said_keep_time(const http_reply& reply)
+{
+    const auto field = find_field(reply.fields, "Keep-Alive");
+    if (!field)
+        return std::nullopt;
+    const auto at = field->find("timeout=");
+    if (at == std::string_view::npos)
+        return std::nullopt;
+    const auto digits = field->substr(at + 8);
+    std::int64_t seconds = 0;
+    std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    constexpr double ms_in_s = 1'000.0;
+    return millis(static_cast<std::int64_t>(static_cast<double>(seconds) * ms_in_s * keep_share));
+}
+
 /// A kept connection that has become readable was closed, or carries a late answer.
 bool is_reusable(connection& kept)
 {
@@ -54,7 +83,12 @@
     message.target(call.target);
     message.set(http::field::host, host);
     for (const auto& field : call.fields)
-        message.set(field.name, field.value);
+    {
+        if (beast::iequals(field.name, "Host"))
+            message.set(http::field::host, field.value);
+        else
+            message.insert(field.name, field.value);
+    }
     message.body() = std::move(call.body);
     message.prepare_payload();
     return message;
@@ -95,32 +129,52 @@
     asio::ip::tcp::endpoint endpoint;
     std::size_t most;
     std::size_t open{};
+    std::uint64_t opened{};
+    millis keep_time{millis::max()};
     std::vector<std::unique_ptr<connection>> idle;
     std::map<std::uint64_t, beast::tcp_stream*> running; ///< labelled exchanges
 
-    std::unique_ptr<connection> take_idle()
+    /// The connection that was used last is the least likely to be closed by the peer.
+    std::unique_ptr<connection> take_idle(millis longest_idle)
     {
+        const auto now = boot_clock::now();
+        std::erase_if(idle,
+                      [&](const auto& kept)
+                      {
+                          const bool expired = now >= kept->keep_until;
+                          open -= expired ? 1 : 0;
+                          return expired;
+                      });
         while (!idle.empty())
         {
+            const bool is_old =
+                longest_idle != millis::max() && now - idle.back()->idle_since > longest_idle;
+            if (is_old && open < most)
+                return nullptr;
             auto kept = std::move(idle.back());
             idle.pop_back();
-            if (is_reusable(*kept))
+            if (!is_old && is_reusable(*kept))
                 return kept;
             --open;
         }
         return nullptr;
     }
 
-    asio::awaitable<std::unique_ptr<connection>> connect(instant until, http_exchange& result)
+    asio::awaitable<std::unique_ptr<connection>> connect(const exchange_options& options,
+                                                        http_exchange& result)
     {
-        if (auto kept = take_idle())
+        if (auto kept = take_idle(options.longest_idle))
+        {
+            result.reused = true;
             co_return kept;
+        }
         if (open >= most)
             co_return nullptr;
         ++open;
+        ++opened;
         auto fresh = std::make_unique<connection>(executor);
         beast::error_code ec;
-        const auto left = std::chrono::duration_cast<millis>(until - boot_clock::now());
+        const auto left = std::chrono::duration_cast<millis>(options.until - boot_clock::now());
         fresh->stream.expires_after(std::min(left, connect_timeout));
         co_await fresh->stream.async_connect(endpoint,
                                              asio::redirect_error(asio::use_awaitable, ec));
@@ -134,20 +188,31 @@
         co_return nullptr;
     }
 
-    asio::awaitable<void> talk(connection& used, http_call call, instant until,
+    asio::awaitable<void> talk(connection& used, http_call call, const exchange_options& options,
                                http_exchange& result) const
     {
         auto message = to_request(std::move(call), address);
         beast::error_code ec;
-        used.stream.expires_after(until - boot_clock::now());
+        used.stream.expires_after(options.until - boot_clock::now());
         result.result = exchange_result::lost;
         co_await http::async_write(used.stream, message,
                                    asio::redirect_error(asio::use_awaitable, ec));
         if (ec.failed())
             co_return;
+        const bool is_head = message.method() == http::verb::head;
+        while (!co_await read_reply(used, is_head, options, result))
+        {
+        }
+    }
+
+    /// Reads one reply; false if it belongs to an earlier exchange and the next one is to be read.
+    static asio::awaitable<bool> read_reply(connection& used, bool is_head,
+                                            const exchange_options& options, http_exchange& result)
+    {
+        beast::error_code ec;
         http::response_parser<http::string_body> parser;
         parser.body_limit(response_body_limit);
-        parser.skip(message.method() == http::verb::head);
+        parser.skip(is_head);
         co_await http::async_read(used.stream, used.buf, parser,
                                   asio::redirect_error(asio::use_awaitable, ec));
         if (ec.failed())
@@ -155,10 +220,19 @@
             if (!is_lost(ec) || parser.got_some())
                 result.result =
                     ec == beast::error::timeout ? exchange_result::lost : exchange_result::invalid;
-            co_return;
+            co_return true;
         }
+        constexpr unsigned first_final_status = 200;
+        const bool needs_eof = parser.need_eof();
+        const bool keeps = parser.keep_alive() && !needs_eof;
+        auto reply = to_reply(parser.release());
+        if (!needs_eof && (reply.status < first_final_status ||
+                           (options.is_answer && !options.is_answer(reply))))
+            co_return false;
         result.result = exchange_result::complete;
-        result.reply = to_reply(parser.release());
+        result.keeps = keeps && used.buf.size() == 0;
+        result.reply = std::move(reply);
+        co_return true;
     }
 };
 
@@ -173,36 +247,65 @@
 asio::awaitable<http_exchange> http_client::exchange(http_call call, instant until,
                                                      std::function<bool()> may_write,
                                                      std::uint64_t label)
+{
+    exchange_options options{.until = until};
+    options.may_write = std::move(may_write);
+    options.label = label;
+    return exchange(std::move(call), std::move(options));
+}
+
+asio::awaitable<http_exchange> http_client::exchange(http_call call, exchange_options options)
 {
     const auto self = m_shared;
     http_exchange result;
-    if (boot_clock::now() >= until)
+    if (boot_clock::now() >= options.until)
         co_return result;
-    auto used = co_await self->connect(until, result);
+    auto used = co_await self->connect(options, result);
     if (!used)
         co_return result;
-    if ((may_write && !may_write()) || boot_clock::now() >= until)
+    if ((options.may_write && !options.may_write()) || boot_clock::now() >= options.until)
     {
         self->idle.push_back(std::move(used));
         result.cancelled = true;
         co_return result;
     }
-    if (label != 0)
-        self->running.emplace(label, &used->stream);
-    co_await self->talk(*used, std::move(call), until, result);
-    if (label != 0)
-        self->running.erase(label);
-    const auto keep = find_field(result.reply.fields, "Connection");
-    if (result.result == exchange_result::complete && keep != "close")
+    if (options.label != 0)
+        self->running.emplace(options.label, &used->stream);
+    co_await self->talk(*used, std::move(call), options, result);
+    if (options.label != 0)
+        self->running.erase(options.label);
+    if (result.result == exchange_result::complete && result.keeps)
     {
         used->stream.expires_never();
+        used->idle_since = boot_clock::now();
+        const auto keep = std::min(self->keep_time, said_keep_time(result.reply).value_or(millis::max()));
+        used->keep_until = keep == millis::max() ? instant::max() : used->idle_since + keep;
         self->idle.push_back(std::move(used));
     }
     else
+    {
+        if (result.result != exchange_result::complete)
+            abandon(*used);
         --self->open;
+    }
     co_return result;
 }
 
+void http_client::set_limit(std::size_t connections) noexcept
+{
+    m_shared->most = connections;
+}
+
+void http_client::set_keep_time(millis keep) noexcept
+{
+    m_shared->keep_time = keep;
+}
+
+std::uint64_t http_client::opened() const noexcept
+{
+    return m_shared->opened;
+}
+
 void http_client::cancel(std::uint64_t label)
 {
     if (const auto it = m_shared->running.find(label); it != m_shared->running.end())
--- a/src/http/listener.cpp
+++ b/src/http/listener.cpp
@@ -8,6 +8,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <array>
+#include <exception>
 #include <optional>
 #include <set>
 
@@ -41,6 +43,8 @@
     asio::awaitable<void> serve(beast::tcp_stream stream);
     asio::awaitable<bool> serve_one(beast::tcp_stream& stream, beast::flat_buffer& buf);
     asio::awaitable<bool> refuse(beast::tcp_stream& stream, const beast::error_code& ec);
+    asio::awaitable<http_reply> handle(beast::tcp_stream& stream, http_call call);
+    static asio::awaitable<void> discard_rest(beast::tcp_stream& stream);
 };
 
 namespace
@@ -63,7 +67,7 @@
     response.version(11);
     response.result(reply.status);
     for (const auto& field : reply.fields)
-        response.set(field.name, field.value);
+        response.insert(field.name, field.value);
     response.keep_alive(keep_alive);
     response.body() = std::move(reply.body);
     response.prepare_payload();
@@ -86,7 +90,7 @@
     {
         beast::error_code ec;
         auto socket = co_await acceptor.async_accept(asio::redirect_error(asio::use_awaitable, ec));
-        if (ec == asio::error::operation_aborted || stopping)
+        if (ec == asio::error::operation_aborted || !acceptor.is_open())
             co_return;
         if (ec.failed() || open >= limits.connections)
             continue;
@@ -112,8 +116,70 @@
         // The connection is closed below; the handler reports its own errors.
     }
     --open;
+    try
+    {
+        co_await discard_rest(stream);
+    }
+    catch (const std::exception&)
+    {
+        // Nothing is owed to a connection that has had its last answer.
+    }
+}
+
+/// Closing a socket with unread bytes resets it and may destroy the answer on its way, so what the
+/// caller still sends is read first.
+asio::awaitable<void> http_listener::shared::discard_rest(beast::tcp_stream& stream)
+{
+    constexpr millis longest_wait{500}; // several round trips to a caller
+    constexpr std::size_t chunk = 4096;
     beast::error_code ec;
     stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+    if (ec.failed())
+        co_return;
+    std::array<char, chunk> sink{};
+    stream.expires_after(longest_wait);
+    while (!ec.failed())
+        co_await stream.async_read_some(asio::buffer(sink),
+                                        asio::redirect_error(asio::use_awaitable, ec));
+}
+
+asio::awaitable<http_reply> http_listener::shared::handle(beast::tcp_stream& stream,
+                                                          http_call call)
+{
+    const auto watch = std::make_shared<caller_watch>();
+    const auto running = std::make_shared<bool>(true);
+    auto& socket = stream.socket();
+    socket.async_wait(asio::ip::tcp::socket::wait_read,
+                      [watch, running, &socket](const beast::error_code& ec)
+                      {
+                          if (!*running || ec == asio::error::operation_aborted)
+                              return;
+                          beast::error_code peeked;
+                          char byte{};
+                          socket.non_blocking(true, peeked);
+                          socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek,
+                                         peeked);
+                          if (ec.failed() ||
+                              (peeked.failed() && peeked != asio::error::would_block))
+                              watch->set_gone();
+                      });
+    http_reply reply;
+    std::exception_ptr failure;
+    try
+    {
+        reply = co_await handler(std::move(call), watch);
+    }
+    catch (const std::exception&)
+    {
+        failure = std::current_exception();
+    }
+    *running = false;
+    watch->on_gone({});
+    beast::error_code ec;
+    socket.cancel(ec);
+    if (failure)
+        std::rethrow_exception(failure);
+    co_return reply;
 }
 
 asio::awaitable<bool> http_listener::shared::serve_one(beast::tcp_stream& stream,
@@ -122,8 +188,6 @@
     beast::error_code ec;
     if (buf.size() == 0)
     {
-        if (stopping)
-            co_return false;
         idle.insert(&stream);
         stream.expires_after(limits.idle_timeout);
         constexpr std::size_t chunk = 4096;
@@ -145,7 +209,7 @@
     auto message = parser.release();
     const bool keep_alive = message.keep_alive();
     const bool is_head = message.method() == http::verb::head;
-    auto reply = co_await handler(to_call(std::move(message)));
+    auto reply = co_await handle(stream, to_call(std::move(message)));
     auto response = to_response(std::move(reply), keep_alive && !stopping);
     const bool stays_open = response.keep_alive();
     if (is_head)
@@ -187,6 +251,16 @@
     asio::co_spawn(m_shared->acceptor.get_executor(), m_shared->accept_loop(), asio::detached);
 }
 
+void http_listener::drain()
+{
+    m_shared->stopping = true;
+}
+
+void http_listener::set_limits(const http_limits& limits)
+{
+    m_shared->limits = limits;
+}
+
 void http_listener::stop()
 {
     m_shared->stopping = true;
--- /dev/null
+++ b/src/router/key_coordinator.cpp
@@ -0,0 +1,467 @@
+/// Claiming, following the stream, and what is told to all processes.
+#include <eelgrassrail/observe/log.hpp>
+#include <eelgrassrail/peers/codec.hpp>
+#include <eelgrassrail/router/key_coordinator.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace eelgrassrail
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr millis tick{50};
+constexpr millis plan_interval{250};
+constexpr millis push_interval{250};
+constexpr millis renewal_interval{2'000};
+
+/// A read of the ownership stream waits this long at the store for a record.
+constexpr millis ownership_wait{2'000};
+
+/// Without news of the stream for this time no grant is sent. A successor counts on it.
+constexpr millis duty_lease{8'000};
+
+/// Time for which changes are repeated in pushes, so that a lost datagram does no harm.
+constexpr millis repeat_time{1'000};
+
+/// A process that has not reported for this time is not told anything any more.
+constexpr millis reporter_lifetime{5'000};
+
+constexpr millis pause_after_failure{300};
+
+/// Age of its state at which the coordinator takes over what another process has read.
+constexpr millis stale_age{700};
+
+/// A coordinator that the store has turned away for this time, while it serves others, wants a
+/// successor: it can renew grants but move none. Longer than a waiting read of the stream.
+constexpr millis stuck_time{3'000};
+constexpr millis crash_memory{10'000};
+constexpr millis load_memory{4'000};
+
+/// Largest push; what does not fit in is fetched as a copy.
+constexpr std::size_t most_changes = 200;
+
+hold_bounds bounds_of(const router_settings& settings)
+{
+    hold_bounds bounds;
+    bounds.hold = settings.longest_hold;
+    bounds.latest_arrival = millis(500); // a grant call is given up and its connection reset by then
+    bounds.margin = millis(250);         // timers, and rounding at the worker
+    return bounds;
+}
+
+} // namespace
+
+key_coordinator::key_coordinator(asio::any_io_executor executor, router_state& state,
+                                 worker_links& links, peer_link& peers)
+    : m_executor(std::move(executor))
+    , m_state(state)
+    , m_links(links)
+    , m_peers(peers)
+    , m_book(bounds_of(state.settings))
+{
+}
+
+void key_coordinator::start()
+{
+    asio::co_spawn(m_executor, run(), asio::detached);
+    asio::co_spawn(m_executor, follow_stream(), asio::detached);
+}
+
+asio::awaitable<void> key_coordinator::pause(millis time)
+{
+    asio::steady_timer timer(m_executor, time);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+std::uint64_t key_coordinator::epoch() const
+{
+    return m_state.ownership_version >> epoch_shift;
+}
+
+asio::awaitable<void> key_coordinator::run()
+{
+    for (;;)
+    {
+        co_await pause(tick);
+        const auto now = boot_clock::now();
+        if (!m_is_active)
+        {
+            if (!m_state.is_leaving && now >= m_next_claim && should_claim(evidence(now), now))
+                co_await claim();
+            continue;
+        }
+        if (!m_state.is_coordinator())
+        {
+            step_down("a successor was heard");
+            continue;
+        }
+        if (now >= m_next_renewal)
+        {
+            m_next_renewal = now + renewal_interval;
+            renew_all(now);
+        }
+        if (now >= m_next_plan && !m_is_planning)
+        {
+            m_next_plan = now + plan_interval;
+            m_is_planning = true;
+            asio::co_spawn(m_executor, plan_all(), asio::detached);
+        }
+        if (now >= m_next_push)
+            push_news(now);
+    }
+}
+
+coordinator_evidence key_coordinator::evidence(instant) const
+{
+    coordinator_evidence result;
+    const auto& on_record = m_state.coordinator;
+    result.is_on_record = !on_record.address.empty();
+    result.was_own_address = on_record.address == m_state.self.address;
+    result.last_heard = std::max(m_state.last_push, m_state.started);
+    result.successor_wanted = m_state.successor_wanted;
+    std::vector<std::string> others;
+    std::ranges::copy_if(m_state.peers, std::back_inserter(others),
+                         [&](const std::string& address) { return address != on_record.address; });
+    std::ranges::sort(others);
+    result.rank = static_cast<std::size_t>(
+        std::ranges::lower_bound(others, m_state.self.address) - others.begin());
+    return result;
+}
+
+/// Reads the end of the stream, then tries to append a record that names this process.
+asio::awaitable<void> key_coordinator::claim()
+{
+    m_next_claim = boot_clock::now() + pause_after_failure;
+    const auto version = m_state.ownership_version;
+    const auto newest = co_await m_state.calls.newest(platform_stream::ownership);
+    if (!newest)
+        co_return;
+    for (const auto& record : newest->records)
+        if (const auto value = read_message<ownership_record>(record.value))
+            m_state.take_ownership(*value);
+    m_stream_end = newest->end;
+    m_has_stream_end = true;
+    if (m_state.ownership_version > version && !(m_state.coordinator == m_state.self))
+    {
+        // There is news: another process may have the duty, and is heard soon.
+        const auto now = boot_clock::now();
+        if (m_state.coordinator.address != m_state.self.address && version != 0)
+        {
+            m_state.last_push = now;
+            co_return;
+        }
+        if (!should_claim(evidence(now), now))
+            co_return;
+    }
+    const auto before = m_state.coordinator;
+    const auto old_version = m_state.ownership_version;
+    m_state.coordinator = m_state.self;
+    m_state.ownership_version = next_epoch(old_version);
+    const auto asked = boot_clock::now();
+    const auto end = co_await m_state.calls.append_ownership(write_message(m_state.make_record()),
+                                                             m_stream_end);
+    if (end != append_end::done)
+    {
+        // If it was executed after all, the stream shows this process's address, and it claims again.
+        if (m_state.coordinator == m_state.self)
+        {
+            m_state.coordinator = before;
+            m_state.ownership_version = old_version;
+        }
+        m_has_stream_end = false;
+        log_info(log_part::ownership, std::string("claim failed end=") +
+                                          (end == append_end::lost_race ? "race" : "unknown"));
+        co_return;
+    }
+    ++m_stream_end;
+    m_written = m_state.ownership_version;
+    log_info(log_part::ownership,
+             "claimed before=" + before.address + " epoch=" + std::to_string(epoch()) +
+                 " heard_ms_ago=" +
+                 std::to_string(std::chrono::duration_cast<millis>(asked - m_state.last_push).count()));
+    if (before.address == m_state.self.address)
+        take_duty(m_state.started);
+    else
+        take_duty(boot_clock::now() + (before.address.empty() ? millis(0) : duty_lease));
+    m_confirmed_at = asked;
+}
+
+/// @param last_grants instant up to which others may have sent grants
+void key_coordinator::take_duty(instant last_grants)
+{
+    m_is_active = true;
+    m_push_base = m_state.ownership_version;
+    m_changes.clear();
+    m_revisions.clear();
+    m_reporters.clear();
+    const auto now = boot_clock::now();
+    for (const auto& [service, map] : m_state.maps)
+        for (const auto& slice : map.slices())
+            for (const auto& life : {slice.owner, slice.previous})
+                if (!life.id.empty())
+                    m_book.on_unknown_grants(life, last_grants);
+    m_next_renewal = now + renewal_interval;
+    m_next_push = now;
+    // The new process first hears reports, so that it does not plan without loads.
+    m_next_plan = now + 2 * push_interval;
+    renew_all(now);
+    resume_moves();
+    push_news(now);
+}
+
+void key_coordinator::step_down(const char* why)
+{
+    if (!m_is_active)
+        return;
+    m_is_active = false;
+    m_state.last_push = boot_clock::now();
+    log_info(log_part::ownership, std::string("duty ended why=") + why);
+}
+
+asio::awaitable<void> key_coordinator::resign()
+{
+    if (!m_is_active)
+        co_return;
+    m_is_active = false;
+    m_state.coordinator = {};
+    m_state.ownership_version = next_epoch(m_state.ownership_version);
+    push_news(boot_clock::now());
+    const auto end = co_await m_state.calls.append_ownership(write_message(m_state.make_record()),
+                                                             m_stream_end);
+    log_info(log_part::ownership,
+             end == append_end::done ? "duty given up" : "duty given up without a record");
+}
+
+/// The coordinator watches for a successor.
+asio::awaitable<void> key_coordinator::follow_stream()
+{
+    for (;;)
+    {
+        if (!m_is_active)
+        {
+            co_await pause(tick * 2);
+            continue;
+        }
+        const auto asked = boot_clock::now();
+        const auto from = m_stream_end;
+        const auto page =
+            co_await m_state.calls.read(platform_stream::ownership, from, ownership_wait);
+        if (!page)
+        {
+            co_await pause(pause_after_failure);
+            continue;
+        }
+        if (!m_is_active)
+            continue;
+        m_confirmed_at = std::max(m_confirmed_at, asked);
+        for (const auto& record : page->records)
+        {
+            const auto value = read_message<ownership_record>(record.value);
+            if (!value)
+                continue;
+            if (record.offset >= from)
+                m_stream_end = std::max(m_stream_end, record.offset + 1);
+            if (!(value->coordinator == m_state.self))
+            {
+                step_down("successor on record");
+                m_state.take_ownership(*value);
+                break;
+            }
+        }
+    }
+}
+
+bool key_coordinator::may_grant(instant now) const
+{
+    return m_is_active && now < m_confirmed_at + duty_lease;
+}
+
+/// Appends the whole ownership. A record of unknown fate is written again under the same condition.
+asio::awaitable<bool> key_coordinator::write_record(const char* why)
+{
+    const auto record = m_state.make_record();
+    const auto text = write_message(record);
+    constexpr int most_tries = 20;
+    bool was_unknown = false;
+    for (int n = 0; n < most_tries && m_is_active; ++n)
+    {
+        const auto asked = boot_clock::now();
+        const auto at = m_stream_end;
+        const auto end = co_await m_state.calls.append_ownership(text, at);
+        if (end == append_end::done)
+        {
+            // The task that follows the stream may have met the record already.
+            m_stream_end = std::max(m_stream_end, at + 1);
+            m_written = record.version;
+            m_confirmed_at = std::max(m_confirmed_at, asked);
+            m_state.counters.count("ownership_records");
+            log_debug(log_part::ownership, std::string("record written why=") + why);
+            co_return true;
+        }
+        if (end == append_end::lost_race)
+        {
+            const auto page =
+                co_await m_state.calls.read(platform_stream::ownership, at, millis(0));
+            if (!page)
+                continue;
+            const auto first = page->records.empty()
+                                   ? std::nullopt
+                                   : read_message<ownership_record>(page->records.front().value);
+            if (was_unknown && first && first->coordinator == m_state.self &&
+                first->version == record.version)
+            {
+                m_stream_end = std::max(m_stream_end, at + 1);
+                m_written = record.version;
+                co_return true;
+            }
+            if (first && first->coordinator == m_state.self)
+            {
+                // An earlier record of this process, of unknown fate then.
+                m_stream_end = std::max(m_stream_end, at + 1);
+                continue;
+            }
+            step_down("lost the race for a record");
+            if (first)
+                m_state.take_ownership(*first);
+            co_return false;
+        }
+        was_unknown = true;
+        co_await pause(pause_after_failure);
+    }
+    co_return false;
+}
+
+void key_coordinator::paint(const std::string& service, const key_slice& slice)
+{
+    slice_change change;
+    change.version = ++m_state.ownership_version;
+    change.service = service;
+    change.slice = slice;
+    m_state.take_slice(change);
+    m_changes.emplace_back(boot_clock::now(), change);
+    m_state.changed.notify();
+}
+
+void key_coordinator::push_news(instant now)
+{
+    m_next_push = now + push_interval;
+    while (!m_changes.empty() &&
+           (m_changes.front().first < now - repeat_time || m_changes.size() > most_changes))
+    {
+        m_push_base = m_changes.front().second.version;
+        m_changes.pop_front();
+    }
+    while (m_revisions.size() > 1 && m_revisions.front().first < now - repeat_time)
+        m_revisions.pop_front();
+    m_revisions.emplace_back(now, m_state.workers.revision());
+    std::erase_if(m_reporters, [now](const auto& item)
+                  { return item.second.last_heard < now - reporter_lifetime; });
+    std::erase_if(m_crashes,
+                  [now](const auto& item) { return item.first < now - crash_memory; });
+    coordinator_push push;
+    push.sender = m_state.self;
+    push.ownership_version = m_state.ownership_version;
+    push.ownership_base = m_push_base;
+    for (const auto& [at, change] : m_changes)
+        push.ownership.push_back(change);
+    push.routes_version = m_state.routes ? m_state.routes->version : 0;
+    push.workers_revision = m_state.workers.revision();
+    push.workers_base = m_revisions.front().second;
+    push.workers = m_state.workers.changes_since(push.workers_base);
+    if (push.workers.size() > most_changes)
+    {
+        push.workers.clear();
+        push.workers_base = push.workers_revision;
+    }
+    push.workers_end = m_state.workers.end_offset();
+    push.age_ms = m_state.age_ms(now);
+    push.wants_successor = now > m_confirmed_at + stuck_time &&
+                           now < m_store_served_other + stuck_time;
+    for (const auto& [id, worker] : m_workers)
+    {
+        worker_use use;
+        use.id = id;
+        for (const auto& [address, sender] : m_reporters)
+            if (const auto it = sender.in_flight.find(id); it != sender.in_flight.end())
+                use.in_flight += it->second;
+        use.typical_ms = static_cast<std::uint32_t>(worker.speed.low_quartile_ms());
+        push.use.push_back(use);
+    }
+    push.peers.push_back(m_state.self.address);
+    for (const auto& [address, sender] : m_reporters)
+        if (address != m_state.self.address)
+            push.peers.push_back(address);
+    for (const auto& [at, crash] : m_crashes)
+        push.crashes.push_back(crash);
+    for (const auto& address : push.peers)
+        if (address != m_state.self.address)
+            m_peers.send(address, push);
+    m_state.peers = push.peers;
+    for (const auto& item : push.use)
+        m_state.use[item.id] = item;
+}
+
+void key_coordinator::take_report(const entry_report& report, instant now)
+{
+    if (!m_is_active)
+        return;
+    auto& sender = m_reporters[report.sender.address];
+    const bool is_new = sender.last_heard == instant{};
+    sender.last_heard = now;
+    sender.in_flight.clear();
+    for (const auto& sight : report.workers)
+    {
+        sender.in_flight[sight.id] = sight.in_flight;
+        auto& worker = m_workers[sight.id];
+        for (const auto time : sight.times_ms)
+            worker.speed.add(time);
+        constexpr double newest = 0.1;
+        const auto good = sight.times_ms.size();
+        for (std::size_t n = 0; n < good + sight.failures; ++n)
+            worker.failing += ((n < good ? 0.0 : 1.0) - worker.failing) * newest;
+    }
+    for (const auto& seen : report.keys)
+    {
+        auto& load = m_loads.try_emplace(seen.service, load_memory, now).first->second;
+        for (const auto key : seen.keys)
+            load.add(key);
+    }
+    ask_for_copy(report, now);
+    for (const auto& crash : report.crashes)
+        m_crashes.emplace_back(now, crash);
+    if (report.is_leaving)
+        m_reporters.erase(report.sender.address);
+    else if (is_new)
+        m_next_push = now;
+}
+
+/// A process that the store serves lends its state to a coordinator that is turned away.
+void key_coordinator::ask_for_copy(const entry_report& report, instant now)
+{
+    const bool is_newer =
+        m_state.routes && report.routes_version > m_state.routes->version;
+    const bool is_fresher =
+        m_state.age_ms(now) > stale_age.count() && report.age_ms + stale_age.count() / 2 <
+                                                       m_state.age_ms(now);
+    if (is_fresher)
+        m_store_served_other = now;
+    if ((!is_newer && !is_fresher) || now < m_next_copy)
+        return;
+    m_next_copy = now + push_interval;
+    asio::co_spawn(
+        m_executor,
+        [this, from = report.sender]() -> asio::awaitable<void>
+        { co_await m_peers.fetch_copy(from); },
+        asio::detached);
+}
+
+} // namespace eelgrassrail
--- /dev/null
+++ b/src/router/key_moves.cpp
@@ -0,0 +1,337 @@
+/// Planning, moving and renewing of grants by the coordinator.
+#include <eelgrassrail/observe/log.hpp>
+#include <eelgrassrail/router/key_coordinator.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
+namespace eelgrassrail
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr millis grant_timeout{400};
+
+/// A release is answered when the work on its keys has ended; the longest runs are cut by their
+/// deadlines, so a call is repeated rather than waited for.
+constexpr millis release_timeout{2'500};
+
+constexpr millis pause_after_failure{150};
+constexpr millis load_memory{4'000};
+constexpr std::size_t most_balance_moves = 6; ///< on their way at a time, of all services
+constexpr int most_grant_tries = 8;
+
+/// A worker that has answered no grant for this time, two renewals, gets no more keys.
+constexpr millis renewal_silence{4'500};
+
+constexpr double least_speed = 0.2;
+constexpr double most_speed = 3.0;
+constexpr double cold_capacity = 0.5; ///< a worker that has just started is about half as fast
+
+std::string range_text(const key_slice& slice)
+{
+    return std::to_string(slice.first) + "-" + std::to_string(slice.last);
+}
+
+} // namespace
+
+asio::awaitable<http_exchange> key_coordinator::call_worker(const worker_entry& worker,
+                                                            http_call call, millis timeout)
+{
+    http_exchange result;
+    const auto link = m_links.get(worker);
+    if (!link)
+        co_return result;
+    exchange_options options{.until = boot_clock::now() + timeout};
+    result = co_await link->control.exchange(std::move(call), std::move(options));
+    note_exchange(worker, result, boot_clock::now());
+    co_return result;
+}
+
+void key_coordinator::note_exchange(const worker_entry& worker, const http_exchange& exchange,
+                                    instant now)
+{
+    auto& record = m_workers[worker.life.id];
+    if (exchange.result == exchange_result::complete)
+    {
+        record.last_answered = now;
+        record.refusals = 0;
+    }
+    else if (exchange.refused)
+    {
+        // A partition may refuse connections too, so this does not prove that the process ended.
+        ++record.refusals;
+    }
+}
+
+std::vector<key_worker> key_coordinator::usable_workers(const std::string& service, instant now)
+{
+    const auto ready = m_state.workers.ready(service);
+    std::vector<double> times;
+    for (const auto* worker : ready)
+        if (const double t = m_workers[worker->entry.life.id].speed.low_quartile_ms(); t > 0)
+            times.push_back(t);
+    std::ranges::sort(times);
+    const double middle = times.empty() ? 0 : times[times.size() / 2];
+    std::vector<key_worker> result;
+    for (const auto* worker : ready)
+    {
+        const auto& record = m_workers[worker->entry.life.id];
+        if (m_book.has_ended(worker->entry.life))
+            continue;
+        key_worker usable;
+        usable.life = worker->entry.life;
+        const double time = record.speed.low_quartile_ms();
+        const double speed =
+            time > 0 && middle > 0 ? std::clamp(middle / time, least_speed, most_speed) : 1.0;
+        usable.capacity = worker->entry.slots * speed * std::max(0.1, 1.0 - record.failing) *
+                          (worker->is_cold(now) ? cold_capacity : 1.0);
+        usable.may_change = record.refusals == 0 &&
+                            (record.last_answered == instant{} ||
+                             now - record.last_answered < renewal_silence);
+        result.push_back(usable);
+    }
+    return result;
+}
+
+/// Plans all services and starts the moves once they are on record.
+asio::awaitable<void> key_coordinator::plan_all()
+{
+    std::vector<key_move> moves;
+    const auto now = boot_clock::now();
+    const auto routes = m_state.routes;
+    if (routes && may_grant(now))
+        for (const auto& terms : routes->services)
+        {
+            if (!terms.divided_by_key)
+                continue;
+            auto& load = m_loads.try_emplace(terms.name, load_memory, now).first->second;
+            load.settle(now);
+            balance_limits limits;
+            limits.moves = m_moving < most_balance_moves ? most_balance_moves - m_moving : 0;
+            const auto workers = usable_workers(terms.name, now);
+            for (const auto& planned :
+                 plan_key_moves(m_state.maps[terms.name], load, workers, limits))
+            {
+                key_move move;
+                move.service = terms.name;
+                move.slice = {planned.first, planned.last, planned.target, false, planned.source};
+                paint(terms.name, move.slice);
+                move.fence = m_state.ownership_version;
+                move.epoch = epoch();
+                moves.push_back(std::move(move));
+            }
+        }
+    if (!moves.empty())
+    {
+        push_news(now);
+        if (!co_await write_record("moves"))
+        {
+            log_warning(log_part::ownership, "moves wait: the record could not be written");
+            if (m_is_active)
+                for (auto& move : moves)
+                {
+                    // Nothing was granted yet: the owner before is still the owner.
+                    const bool is_kept = !move.slice.previous.id.empty() &&
+                                         m_book.may_hold(move.slice.previous, boot_clock::now());
+                    key_slice slice = move.slice;
+                    slice.owner = is_kept ? move.slice.previous : worker_life{};
+                    slice.is_ready = is_kept;
+                    slice.previous = is_kept ? worker_life{} : move.slice.previous;
+                    paint(move.service, slice);
+                }
+            moves.clear();
+        }
+    }
+    else if (m_is_active && m_moving == 0 && m_written < m_state.ownership_version)
+        co_await write_record("settled");
+    for (auto& move : moves)
+        asio::co_spawn(m_executor, move_keys(std::move(move)), asio::detached);
+    m_is_planning = false;
+}
+
+/// A takeover finishes what the process before has begun.
+void key_coordinator::resume_moves()
+{
+    for (const auto& [service, map] : m_state.maps)
+        for (const auto& slice : map.slices())
+        {
+            if (slice.is_ready || slice.owner.id.empty())
+                continue;
+            key_move move;
+            move.service = service;
+            move.slice = slice;
+            move.fence = m_state.ownership_version;
+            move.epoch = epoch();
+            asio::co_spawn(m_executor, move_keys(std::move(move)), asio::detached);
+        }
+}
+
+bool key_coordinator::is_current(const key_move& move) const
+{
+    return m_is_active && move.epoch == epoch();
+}
+
+asio::awaitable<void> key_coordinator::move_keys(key_move move)
+{
+    ++m_moving;
+    const auto began = boot_clock::now();
+    const auto handover = co_await free_source(move);
+    const bool is_given = is_current(move) && co_await give_to_target(move, handover);
+    --m_moving;
+    if (!is_current(move))
+        co_return;
+    auto slice = move.slice;
+    if (is_given)
+    {
+        slice.is_ready = true;
+        slice.previous = {};
+    }
+    else
+    {
+        // The target may hold the keys now; the next plan frees it first.
+        slice.previous = slice.owner;
+        slice.owner = {};
+        m_next_plan = {};
+    }
+    log_info(log_part::ownership,
+             std::string(is_given ? "moved" : "not moved") + " service=" + move.service +
+                 " keys=" + range_text(slice) + " from=" + move.slice.previous.id +
+                 " to=" + move.slice.owner.id + " fence=" + std::to_string(move.fence) +
+                 " ms=" +
+                 std::to_string(
+                     std::chrono::duration_cast<millis>(boot_clock::now() - began).count()));
+    paint(move.service, slice);
+    push_news(boot_clock::now());
+}
+
+/// Ends when the previous owner can not hold the keys any more.
+/// @return the handover of its release; empty if there is none
+asio::awaitable<std::string> key_coordinator::free_source(const key_move& move)
+{
+    const auto& source = move.slice.previous;
+    while (is_current(move) && m_book.may_hold(source, boot_clock::now()))
+    {
+        const auto* worker = m_state.workers.find(source.id);
+        if (worker == nullptr)
+        {
+            co_await pause(pause_after_failure);
+            continue;
+        }
+        if (worker->entry.life != source)
+        {
+            m_book.on_ended(source); // the same id has started again
+            break;
+        }
+        if (m_state.workers.is_replaced(worker->entry))
+        {
+            m_book.on_ended(source); // its address was given to a worker that started later
+            break;
+        }
+        const auto entry = worker->entry;
+        key_grant release;
+        release.first = move.slice.first;
+        release.last = move.slice.last;
+        release.fence = move.fence;
+        auto exchange =
+            co_await call_worker(entry, m_state.format.release(release), release_timeout);
+        if (exchange.result == exchange_result::complete && exchange.reply.status == 200)
+            co_return std::string(
+                find_field(exchange.reply.fields, m_state.format.handover).value_or(""));
+        co_await pause(pause_after_failure);
+    }
+    co_return std::string();
+}
+
+asio::awaitable<bool> key_coordinator::give_to_target(const key_move& move,
+                                                      const std::string& handover)
+{
+    for (int n = 0; n < most_grant_tries && is_current(move); ++n)
+    {
+        const auto* worker = m_state.workers.find(move.slice.owner.id);
+        if (worker == nullptr || worker->entry.life != move.slice.owner || !worker->takes_work() ||
+            m_book.has_ended(move.slice.owner))
+            co_return false;
+        const auto now = boot_clock::now();
+        if (!may_grant(now))
+            co_return false;
+        const auto entry = worker->entry;
+        key_grant grant;
+        grant.first = move.slice.first;
+        grant.last = move.slice.last;
+        grant.fence = move.fence;
+        grant.hold = m_state.settings.longest_hold;
+        grant.handover = handover;
+        m_book.on_grant_sent(entry.life, now);
+        const auto exchange =
+            co_await call_worker(entry, m_state.format.grant(grant), grant_timeout);
+        if (exchange.result == exchange_result::complete)
+        {
+            if (exchange.reply.status == 200)
+                co_return true;
+            log_warning(log_part::ownership,
+                        "grant refused worker=" + entry.life.id + " keys=" +
+                            range_text(move.slice) + " fence=" + std::to_string(move.fence) +
+                            " status=" + std::to_string(exchange.reply.status));
+            co_return false;
+        }
+        co_await pause(pause_after_failure);
+    }
+    co_return false;
+}
+
+void key_coordinator::renew_all(instant now)
+{
+    if (!may_grant(now))
+        return;
+    for (const auto& [service, map] : m_state.maps)
+    {
+        std::set<worker_life> owners;
+        for (const auto& slice : map.slices())
+            if (slice.is_ready && !slice.owner.id.empty())
+                owners.insert(slice.owner);
+        for (const auto& owner : owners)
+        {
+            const auto* worker = m_state.workers.find(owner.id);
+            if (worker != nullptr && worker->entry.life == owner && worker->takes_work())
+                asio::co_spawn(m_executor, renew(worker->entry, service), asio::detached);
+        }
+    }
+}
+
+/// Renews all ranges of one worker. A range that moves meanwhile is left out.
+asio::awaitable<void> key_coordinator::renew(worker_entry worker, std::string service)
+{
+    const auto began = epoch();
+    const auto slices = m_state.maps[service].owned_by(worker.life);
+    for (const auto& slice : slices)
+    {
+        const auto now = boot_clock::now();
+        if (!may_grant(now) || began != epoch())
+            co_return;
+        const auto& current = m_state.maps[service].find(slice.first);
+        if (!slice.is_ready || !(current == slice))
+            continue;
+        key_grant grant;
+        grant.first = slice.first;
+        grant.last = slice.last;
+        grant.fence = m_state.ownership_version;
+        grant.hold = m_state.settings.longest_hold;
+        m_book.on_grant_sent(worker.life, now);
+        const auto exchange =
+            co_await call_worker(worker, m_state.format.grant(grant), grant_timeout);
+        if (exchange.result == exchange_result::complete && exchange.reply.status != 200)
+            log_debug(log_part::ownership, "renewal refused worker=" + worker.life.id + " keys=" +
+                                               range_text(slice) + " status=" +
+                                               std::to_string(exchange.reply.status));
+        if (exchange.result != exchange_result::complete)
+            co_return;
+    }
+}
+
+} // namespace eelgrassrail
--- /dev/null
+++ b/src/router/peer_link.cpp
@@ -0,0 +1,164 @@
+/// UDP and TCP of the peer address.
+#include <eelgrassrail/observe/log.hpp>
+#include <eelgrassrail/peers/codec.hpp>
+#include <eelgrassrail/router/peer_link.hpp>
+#include <eelgrassrail/settings/net_address.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <array>
+
+namespace eelgrassrail
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr std::size_t largest_datagram = 65'507; ///< of UDP over IPv4
+constexpr millis copy_timeout{400};              ///< some round trips between zones
+constexpr unsigned not_found = 404;
+
+/// First byte of a datagram.
+enum class datagram_kind : char
+{
+    report = 'r',
+    push = 'p'
+};
+
+http_reply malformed(bool, bool)
+{
+    http_reply reply;
+    reply.status = 400;
+    return reply;
+}
+
+} // namespace
+
+peer_link::peer_link(const asio::any_io_executor& executor, router_state& state)
+    : m_executor(executor)
+    , m_state(state)
+    , m_socket(executor, parse_udp_address(state.settings.peer_address))
+    , m_listener(
+          executor, parse_tcp_address(state.settings.peer_address), {},
+          [this](http_call call, const auto&) { return serve(std::move(call)); }, malformed)
+{
+    m_socket.non_blocking(true);
+}
+
+void peer_link::start(std::function<void(entry_report)> on_report,
+                      std::function<void(coordinator_push)> on_push)
+{
+    m_on_report = std::move(on_report);
+    m_on_push = std::move(on_push);
+    m_listener.start();
+    asio::co_spawn(m_executor, receive(), asio::detached);
+}
+
+void peer_link::stop()
+{
+    boost::system::error_code ec;
+    m_socket.close(ec);
+    m_listener.stop();
+}
+
+void peer_link::send(const std::string& address, const entry_report& message)
+{
+    send_bytes(address, static_cast<char>(datagram_kind::report) + write_message(message));
+}
+
+void peer_link::send(const std::string& address, const coordinator_push& message)
+{
+    send_bytes(address, static_cast<char>(datagram_kind::push) + write_message(message));
+}
+
+void peer_link::send_bytes(const std::string& address, const std::string& bytes)
+{
+    boost::system::error_code ec;
+    try
+    {
+        m_socket.send_to(asio::buffer(bytes), parse_udp_address(address), 0, ec);
+    }
+    catch (const std::invalid_argument& e)
+    {
+        log_warning(log_part::peers, e.what());
+    }
+    // A datagram that can not be sent is like one that was lost.
+    m_state.counters.count(ec.failed() ? "datagrams_not_sent" : "datagrams_sent");
+}
+
+asio::awaitable<void> peer_link::receive()
+{
+    std::array<char, largest_datagram> buf{};
+    while (m_socket.is_open())
+    {
+        boost::system::error_code ec;
+        asio::ip::udp::endpoint from;
+        const auto n = co_await m_socket.async_receive_from(
+            asio::buffer(buf), from, asio::redirect_error(asio::use_awaitable, ec));
+        if (ec == asio::error::operation_aborted)
+            co_return;
+        if (ec.failed() || n == 0)
+            continue;
+        const std::span<const char> body(buf.data() + 1, n - 1);
+        if (buf[0] == static_cast<char>(datagram_kind::report))
+        {
+            if (auto message = read_message<entry_report>(body))
+                m_on_report(std::move(*message));
+            else
+                m_state.counters.count("datagrams_malformed");
+        }
+        else if (buf[0] == static_cast<char>(datagram_kind::push))
+        {
+            if (auto message = read_message<coordinator_push>(body))
+                m_on_push(std::move(*message));
+            else
+                m_state.counters.count("datagrams_malformed");
+        }
+        else
+            m_state.counters.count("datagrams_malformed");
+    }
+}
+
+asio::awaitable<http_reply> peer_link::serve(http_call call)
+{
+    http_reply reply;
+    if (call.target == "/copy")
+        reply.body = write_message(m_state.make_copy(boot_clock::now()));
+    else if (call.target == "/metrics")
+        reply.body = m_state.counters.to_text();
+    else
+        reply.status = not_found;
+    co_return reply;
+}
+
+asio::awaitable<bool> peer_link::fetch_copy(coordinator_identity from)
+{
+    if (from.address.empty() || from.address == m_state.self.address || m_fetching)
+        co_return false;
+    m_fetching = true;
+    auto& client = m_clients[from.address];
+    if (!client)
+        client = std::make_unique<http_client>(m_executor, from.address, 1);
+    http_call call;
+    call.method = "GET";
+    call.target = "/copy";
+    auto exchange = co_await client->exchange(std::move(call), boot_clock::now() + copy_timeout);
+    m_fetching = false;
+    if (exchange.result != exchange_result::complete)
+        co_return false;
+    const auto copy = read_message<state_copy>(exchange.reply.body);
+    if (!copy)
+    {
+        m_state.counters.count("copies_malformed");
+        co_return false;
+    }
+    m_state.take_copy(*copy, from, boot_clock::now());
+    co_return true;
+}
+
+} // namespace eelgrassrail
--- /dev/null
+++ b/src/router/request_path.cpp
@@ -0,0 +1,374 @@
+/// Decisions on one request, from its arrival to its answer.
+#include "request_fields.hpp"
+
+#include <eelgrassrail/observe/log.hpp>
+#include <eelgrassrail/router/request_path.hpp>
+#include <eelgrassrail/router/routed_request.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace eelgrassrail
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+/// Longest wait for an owner of a key. A planned move takes the time of one run; what takes longer is
+/// an owner that was lost, which takes seconds.
+constexpr millis longest_owner_wait{1'000};
+
+/// Part of the retries of all processes that a process takes for its own requests; the rest is room
+/// for processes that come and go.
+constexpr double own_retry_share = 0.7;
+constexpr double own_slack_share = 0.5;
+
+/// Requests that a worker queues, as a multiple of its slots; beyond that it refuses.
+constexpr double queue_rounds = 4.0;
+
+/// Run time that is assumed before the first answer of a service.
+constexpr double first_typical_ms = 200.0;
+constexpr double newest_weight = 0.05;
+
+constexpr std::size_t most_keys = 512; ///< of one report
+
+double ms(boot_clock::duration length)
+{
+    return std::chrono::duration<double, std::milli>(length).count();
+}
+
+} // namespace
+
+request_path::request_path(asio::any_io_executor executor, router_state& state, worker_links& links)
+    : m_executor(std::move(executor))
+    , m_state(state)
+    , m_links(links)
+    , m_random(static_cast<std::mt19937::result_type>(state.self.born_ms ^
+                                                      std::hash<std::string>{}(state.self.address)))
+{
+}
+
+asio::awaitable<http_reply> request_path::serve(http_call call, std::shared_ptr<caller_watch> watch)
+{
+    routed_request request;
+    request.call = std::move(call);
+    request.watch = std::move(watch);
+    request.arrived = boot_clock::now();
+    ++m_in_flight;
+    auto reply = co_await route(request);
+    --m_in_flight;
+    co_return reply;
+}
+
+asio::awaitable<http_reply> request_path::route(routed_request& request)
+{
+    const auto problem = read_request(request, m_state);
+    if (problem != error_kind::none)
+        co_return refuse(request, problem, 0);
+    request.service = m_splits.choose(*request.way);
+    request.terms = request.table->find_service(request.service);
+    if (request.terms == nullptr)
+        co_return refuse(request, error_kind::no_server, 0);
+    if (request.terms->divided_by_key && !request.key)
+        co_return refuse(request, error_kind::missing_key, 0);
+    if (m_quarantine.is_refused(request.fingerprint, request.arrived))
+        co_return refuse(request, error_kind::withheld, 0);
+    for (;;)
+    {
+        if (auto reply = co_await try_once(request))
+            co_return std::move(*reply);
+        if (request.watch->is_gone())
+            co_return refuse(request, error_kind::deadline_passed, 0);
+    }
+}
+
+/// One step: waits for an owner, or sends the request once. Nothing: another step is to follow.
+asio::awaitable<std::optional<http_reply>> request_path::try_once(routed_request& request)
+{
+    const auto now = boot_clock::now();
+    if (now >= request.give_up)
+        co_return refuse(request,
+                         request.may_have_run ? error_kind::deadline_while_running
+                                              : error_kind::overloaded,
+                         0);
+    double wait_ms = 0;
+    const auto* worker = pick(request, wait_ms);
+    if (worker == nullptr && request.key && wait_ms == 0)
+    {
+        const auto until = std::min(request.give_up, request.arrived + longest_owner_wait);
+        if (now >= until)
+            co_return refuse(request, error_kind::no_owner, ms(longest_owner_wait) / 2);
+        co_await m_state.changed.wait(until - now);
+        co_return std::nullopt;
+    }
+    if (worker == nullptr)
+        co_return refuse(request, wait_ms > 0 ? error_kind::overloaded : error_kind::no_server,
+                         wait_ms);
+    if (request.sent > 0 && !may_retry(request))
+        co_return refuse(request,
+                         request.may_have_run ? error_kind::server_lost
+                                              : error_kind::server_refused,
+                         typical_ms(request.service));
+    co_return co_await send(request, *worker);
+}
+
+const known_worker* request_path::pick(routed_request& request, double& wait_ms)
+{
+    if (request.terms->divided_by_key)
+        return pick_owner(request, wait_ms);
+    const auto now = boot_clock::now();
+    const auto workers = m_state.workers.ready(request.service);
+    std::vector<worker_option> options;
+    options.reserve(workers.size());
+    for (const auto* worker : workers)
+    {
+        options.push_back(describe_worker(*worker, now));
+        options.back().is_excluded = request.refused_by.contains(worker->entry.life.id);
+    }
+    std::uniform_real_distribution<double> draw(0, 1);
+    const auto best = choose_worker(options, draw(m_random));
+    if (!best)
+    {
+        wait_ms = request.refused_by.empty() ? 0 : typical_ms(request.service);
+        return nullptr;
+    }
+    const auto& chosen = options[best->index];
+    if (best->expected_ms > ms(request.give_up - now) ||
+        chosen.in_flight >= chosen.slots * (1 + queue_rounds))
+    {
+        wait_ms = best->expected_ms / 2;
+        return nullptr;
+    }
+    return workers[best->index];
+}
+
+const known_worker* request_path::pick_owner(routed_request& request, double& wait_ms) const
+{
+    const auto map = m_state.maps.find(request.service);
+    if (map == m_state.maps.end())
+        return nullptr;
+    const auto& slice = map->second.find(*request.key);
+    if (!slice.is_ready || slice.owner.id.empty())
+        return nullptr;
+    const auto* worker = m_state.workers.find(slice.owner.id);
+    if (worker == nullptr || !worker->takes_work() || worker->entry.life != slice.owner)
+        return nullptr;
+    const auto now = boot_clock::now();
+    const auto option = describe_worker(*worker, now);
+    const double expected = expected_ms(option);
+    if (expected > ms(request.give_up - now) || option.in_flight >= option.slots * (1 + queue_rounds))
+    {
+        wait_ms = std::max(1.0, expected / 2);
+        return nullptr;
+    }
+    return worker;
+}
+
+worker_option request_path::describe_worker(const known_worker& worker, instant now) const
+{
+    constexpr double cold_factor = 2.0; // a worker that has just started takes about twice as long
+    worker_option option;
+    option.slots = worker.entry.slots;
+    option.is_near = worker.entry.zone == m_state.self.zone;
+    option.run_ms = typical_ms(worker.entry.service);
+    const auto use = m_state.use.find(worker.entry.life.id);
+    if (use != m_state.use.end())
+    {
+        option.in_flight = use->second.in_flight;
+        if (use->second.typical_ms > 0)
+            option.run_ms = use->second.typical_ms;
+    }
+    if (worker.is_cold(now))
+        option.run_ms *= cold_factor;
+    if (const auto link = m_links.find(worker.entry.life.id))
+    {
+        // What the coordinator has summed up contains this process's last report.
+        option.in_flight -= std::min(option.in_flight, link->reported());
+        option.in_flight += link->in_flight();
+        option.failing = link->failing(now);
+    }
+    return option;
+}
+
+bool request_path::may_retry(routed_request& request)
+{
+    if (request.may_have_run && !request.way->is_idempotent)
+        return false;
+    return request.sent < request.way->max_attempts && budget(request.service).take();
+}
+
+retry_budget& request_path::budget(const std::string& service)
+{
+    const auto it = m_budgets.find(service);
+    if (it != m_budgets.end())
+        return it->second;
+    constexpr double fewest = 4.0; // processes, before the others are known
+    const auto processes = std::max(fewest, static_cast<double>(m_state.peers.size()));
+    return m_budgets
+        .emplace(service,
+                 retry_budget(m_state.settings.retry_ratio * own_retry_share,
+                              std::max(1.0, m_state.settings.retry_slack * own_slack_share /
+                                                processes)))
+        .first->second;
+}
+
+double request_path::typical_ms(const std::string& service) const
+{
+    const auto it = m_typical_ms.find(service);
+    return it == m_typical_ms.end() ? first_typical_ms : it->second;
+}
+
+/// Sends the request to one worker. Nothing: it may be tried again.
+asio::awaitable<std::optional<http_reply>> request_path::send(routed_request& request,
+                                                              const known_worker& worker)
+{
+    std::optional<http_reply> result;
+    const auto entry = worker.entry;
+    const auto link = m_links.get(entry);
+    if (!link)
+    {
+        request.refused_by.insert(entry.life.id);
+        co_return result;
+    }
+    if (!std::exchange(request.counted, true))
+    {
+        budget(request.service).on_attempt();
+        auto& seen = m_keys[request.service];
+        if (request.key && seen.keys.size() < most_keys)
+            seen.keys.push_back(static_cast<std::uint16_t>(*request.key));
+    }
+    exchange_options options{.until = request.give_up};
+    const auto label = m_next_label++;
+    options.label = label;
+    options.may_write = [watch = request.watch] { return !watch->is_gone(); };
+    options.is_answer = [&](const http_reply& reply)
+    { return is_answer_to(request, m_state.format, reply); };
+    if (!request.way->is_idempotent)
+        options.longest_idle = fresh_connection_time;
+    if (request.way->is_idempotent)
+        request.watch->on_gone([link, label] { link->requests.cancel(label); });
+    const auto began = boot_clock::now();
+    link->on_start();
+    auto exchange = co_await link->requests.exchange(to_worker(request, worker), options);
+    request.watch->on_gone({});
+    const auto now = boot_clock::now();
+    const auto took = std::chrono::duration_cast<millis>(now - began);
+    const auto kind = classify(request, m_state.format, exchange);
+    const bool is_success = kind == reply_kind::answer && exchange.reply.status < 500;
+    const bool blames = kind != reply_kind::wrong_owner && !request.watch->is_gone();
+    link->on_end(is_success || !blames, is_success, took, now);
+    request.last_worker = entry.life.id;
+    m_state.counters.count(std::string("attempts_") + std::string(name_of(kind)));
+    if (kind != reply_kind::not_sent)
+        ++request.sent;
+    if (is_success)
+    {
+        auto& typical = m_typical_ms.try_emplace(request.service, first_typical_ms).first->second;
+        typical += (static_cast<double>(took.count()) - typical) * newest_weight;
+    }
+    if (kind != reply_kind::answer)
+        log_debug(log_part::dispatch, "attempt " + request.attempt_id + " worker=" + entry.life.id +
+                                          " end=" + std::string(name_of(kind)) + " ms=" +
+                                          std::to_string(took.count()));
+    switch (kind)
+    {
+    case reply_kind::answer:
+        result = to_caller(std::move(exchange.reply));
+        break;
+    case reply_kind::not_executed:
+    case reply_kind::not_sent:
+        request.refused_by.insert(entry.life.id);
+        if (request.key)
+            co_await m_state.changed.wait(owner_pause);
+        break;
+    case reply_kind::wrong_owner:
+        if (request.key)
+            co_await m_state.changed.wait(owner_pause);
+        else
+            request.refused_by.insert(entry.life.id);
+        break;
+    case reply_kind::lost:
+    case reply_kind::invalid:
+        request.may_have_run = true;
+        request.refused_by.insert(entry.life.id);
+        if (kind == reply_kind::lost && now < request.give_up && !request.watch->is_gone())
+            asio::co_spawn(m_executor, check_lost_worker(request.fingerprint, entry),
+                           asio::detached);
+        if (now >= request.give_up)
+            result = refuse(request, error_kind::deadline_while_running, 0);
+        else if (!request.way->is_idempotent)
+            result = refuse(request,
+                                  kind == reply_kind::lost ? error_kind::server_lost
+                                                           : error_kind::invalid_server_answer,
+                                  0);
+        break;
+    }
+    co_return result;
+}
+
+/// A connection that was lost is no proof that the worker was; one that is refused afterwards is.
+asio::awaitable<void> request_path::check_lost_worker(std::uint64_t fingerprint,
+                                                      worker_entry worker)
+{
+    constexpr millis pause{100};
+    constexpr millis longest{300};
+    asio::steady_timer timer(m_executor, pause);
+    co_await timer.async_wait(asio::use_awaitable);
+    if (!co_await refuses_connections(m_executor, worker.address, longest))
+        co_return;
+    log_warning(log_part::dispatch, "worker " + worker.life.id +
+                                        " was lost during a run fingerprint=" +
+                                        std::to_string(fingerprint));
+    m_quarantine.on_server_lost(fingerprint, worker.life.id, boot_clock::now());
+    m_crashes.push_back({fingerprint, worker.life.id});
+}
+
+http_call request_path::to_worker(const routed_request& request, const known_worker& worker) const
+{
+    return make_worker_call(request, m_state.format, worker.entry.life.id, boot_clock::now());
+}
+
+http_reply request_path::refuse(routed_request& request, error_kind kind, double wait_ms)
+{
+    std::uniform_real_distribution<double> draw(0.7, 1.3);
+    m_state.counters.count("refused_" + std::string(name_of(kind)));
+    log_info(log_part::front, "refused attempt=" + request.attempt_id + " kind=" +
+                                  std::string(name_of(kind)) + " service=" + request.service +
+                                  " worker=" + request.last_worker +
+                                  " sent=" + std::to_string(request.sent) + " ms=" +
+                                  std::to_string(static_cast<int>(
+                                      ms(boot_clock::now() - request.arrived))));
+    return make_refusal(kind, wait_ms * draw(m_random));
+}
+
+entry_report request_path::take_report()
+{
+    entry_report report;
+    report.sender = m_state.self;
+    report.is_leaving = m_state.is_leaving;
+    m_links.for_each(
+        [&](worker_link& link)
+        {
+            if (link.has_news())
+                report.workers.push_back(link.take_sight());
+        });
+    for (auto& [service, seen] : m_keys)
+        if (!seen.keys.empty())
+            report.keys.push_back({service, std::exchange(seen.keys, {})});
+    report.crashes = std::exchange(m_crashes, {});
+    return report;
+}
+
+void request_path::take_crashes(const std::vector<crash_sight>& crashes, instant now)
+{
+    for (const auto& crash : crashes)
+        m_quarantine.on_server_lost(crash.fingerprint, crash.worker, now);
+}
+
+} // namespace eelgrassrail
--- /dev/null
+++ b/src/router/router_process.cpp
@@ -0,0 +1,207 @@
+/// Start, reports, readiness and planned stop.
+#include <eelgrassrail/observe/log.hpp>
+#include <eelgrassrail/router/router_process.hpp>
+#include <eelgrassrail/settings/net_address.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace eelgrassrail
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr millis report_interval{200};
+
+/// Without a push for this time a process reads the streams itself. Four pushes fit in.
+constexpr millis push_silence{1'100};
+
+/// State older than this is read by each process itself: the coordinator may be turned away by the
+/// store. It is half of the time in which a change has to be in force.
+constexpr millis stale_time{1'300};
+
+/// The balancer asks once a second and takes a process out after two misses.
+constexpr millis balancer_notice{2'600};
+
+/// Kept of the time to stop, for the end of the process itself.
+constexpr millis stop_margin{700};
+constexpr millis stop_poll{50};
+
+/// Links to workers that were not used for this time are closed.
+constexpr std::chrono::seconds link_lifetime{30};
+
+/// Removed workers stay known for longer than their keys can be held.
+constexpr std::chrono::seconds removed_lifetime{60};
+
+/// Descriptors that are not for callers: files, the store, peers and workers.
+constexpr std::size_t other_descriptors = 1'200;
+
+/// Part of the connections that a worker takes which all processes together use.
+constexpr double connection_share = 0.8;
+
+http_reply malformed(bool header_too_large, bool body_too_large)
+{
+    const auto kind = header_too_large ? error_kind::header_too_large
+                      : body_too_large ? error_kind::body_too_large
+                                       : error_kind::malformed_request;
+    http_reply reply;
+    reply.status = describe(kind).status;
+    reply.body = std::string(describe(kind).text) + "\n";
+    return reply;
+}
+
+} // namespace
+
+router_process::router_process(asio::io_context& context, router_settings settings,
+                               platform_calls calls, wire_format format)
+    : m_context(context)
+    , m_state(context.get_executor(), std::move(settings), std::move(calls), std::move(format))
+    , m_links(context.get_executor())
+    , m_path(context.get_executor(), m_state, m_links)
+    , m_peers(context.get_executor(), m_state)
+    , m_reader(context.get_executor(), m_state)
+    , m_coordinator(context.get_executor(), m_state, m_links, m_peers)
+    , m_callers(
+          context.get_executor(), parse_tcp_address(m_state.settings.caller_address), {},
+          [this](http_call call, std::shared_ptr<caller_watch> watch)
+          { return m_path.serve(std::move(call), std::move(watch)); },
+          malformed)
+    , m_ready(
+          context.get_executor(), parse_tcp_address(m_state.settings.ready_address), {},
+          [this](http_call, const auto&) -> asio::awaitable<http_reply> { co_return readiness(); },
+          malformed)
+{
+}
+
+void router_process::start()
+{
+    m_peers.start(
+        [this](const entry_report& report)
+        { m_coordinator.take_report(report, boot_clock::now()); },
+        [this](const coordinator_push& push) { take_push(push); });
+    m_reader.start([this] { return reads_streams(); });
+    m_coordinator.start();
+    m_callers.start();
+    m_ready.start();
+    asio::co_spawn(m_context, report(), asio::detached);
+    log_info(log_part::entry, "started vm=" + m_state.settings.vm + " zone=" + m_state.self.zone +
+                                  " born=" + std::to_string(m_state.self.born_ms));
+}
+
+bool router_process::reads_streams() const
+{
+    const auto now = boot_clock::now();
+    return m_coordinator.is_active() || !m_state.can_serve() ||
+           now - m_state.last_push > push_silence || now - m_state.fresh_at > stale_time;
+}
+
+http_reply router_process::readiness() const
+{
+    http_reply reply;
+    reply.status = m_state.can_serve() && !m_state.is_leaving ? 200 : 503;
+    return reply;
+}
+
+void router_process::take_push(const coordinator_push& push)
+{
+    const auto now = boot_clock::now();
+    m_path.take_crashes(push.crashes, now);
+    if (!m_state.take_push(push, now))
+        asio::co_spawn(m_context, fetch_copy(push.sender), asio::detached);
+}
+
+asio::awaitable<void> router_process::fetch_copy(coordinator_identity from)
+{
+    co_await m_peers.fetch_copy(from);
+}
+
+asio::awaitable<void> router_process::pause(millis time)
+{
+    asio::steady_timer timer(m_context, time);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+asio::awaitable<void> router_process::report()
+{
+    for (;;)
+    {
+        co_await pause(report_interval);
+        const auto now = boot_clock::now();
+        auto message = m_path.take_report();
+        message.sequence = ++m_report_sequence;
+        message.routes_version = m_state.routes ? m_state.routes->version : 0;
+        message.age_ms = m_state.age_ms(now);
+        if (m_coordinator.is_active())
+            m_coordinator.take_report(message, now);
+        else if (!m_state.coordinator.address.empty() &&
+                 m_state.coordinator.address != m_state.self.address)
+            m_peers.send(m_state.coordinator.address, message);
+        apply_limits();
+        m_links.close_unused(now - link_lifetime);
+        m_state.workers.forget_removed(now - removed_lifetime);
+    }
+}
+
+void router_process::apply_limits()
+{
+    if (!m_state.routes)
+        return;
+    std::size_t fewest = 0;
+    for (const auto& terms : m_state.routes->services)
+        if (terms.max_connections > 0)
+            fewest = fewest == 0 ? terms.max_connections
+                                 : std::min(fewest, terms.max_connections);
+    constexpr std::size_t least_processes = 4;
+    const auto processes = std::max(least_processes, m_state.peers.size());
+    if (fewest > 0)
+        m_links.set_limit(std::max<std::size_t>(
+            2, static_cast<std::size_t>(static_cast<double>(fewest) * connection_share) /
+                   processes));
+    if (m_state.routes->version == m_limits_version)
+        return;
+    m_limits_version = m_state.routes->version;
+    http_limits limits;
+    limits.header_bytes = m_state.routes->max_header_bytes;
+    limits.body_bytes = m_state.routes->max_body_bytes;
+    limits.header_timeout = m_state.routes->header_timeout;
+    limits.idle_timeout = m_state.routes->idle_timeout;
+    limits.connections = m_state.settings.max_descriptors > 2 * other_descriptors
+                             ? m_state.settings.max_descriptors - other_descriptors
+                             : m_state.settings.max_descriptors / 2;
+    m_callers.set_limits(limits);
+}
+
+void router_process::begin_stop()
+{
+    if (std::exchange(m_state.is_leaving, true))
+        return;
+    asio::co_spawn(m_context, stop(), asio::detached);
+}
+
+asio::awaitable<void> router_process::stop()
+{
+    const auto began = boot_clock::now();
+    log_info(log_part::entry, "stop begins in_flight=" + std::to_string(m_path.in_flight()));
+    m_callers.drain();
+    co_await m_coordinator.resign();
+    const auto accepts_until = began + balancer_notice;
+    const auto ends_by = began + m_state.settings.stop_bound - stop_margin;
+    while (boot_clock::now() < std::min(accepts_until, ends_by))
+        co_await pause(stop_poll);
+    m_callers.stop();
+    while (m_path.in_flight() > 0 && boot_clock::now() < ends_by)
+        co_await pause(stop_poll);
+    log_info(log_part::entry, "stopped in_flight=" + std::to_string(m_path.in_flight()));
+    // Answers that were just written leave with the last turns of the context.
+    co_await pause(stop_poll);
+    m_context.stop();
+}
+
+} // namespace eelgrassrail
--- /dev/null
+++ b/src/router/router_state.cpp
@@ -0,0 +1,177 @@
+/// Folding of pushes, copies and records into the process's beliefs.
+#include <eelgrassrail/core/exception.hpp>
+#include <eelgrassrail/observe/log.hpp>
+#include <eelgrassrail/router/router_state.hpp>
+
+#include <algorithm>
+#include <chrono>
+
+namespace eelgrassrail
+{
+namespace
+{
+
+/// State that is older than this is not proof that a route does not exist. Several pushes and one
+/// read of the store fit in.
+constexpr millis fresh_time{1'500};
+
+std::uint64_t unix_ms()
+{
+    const auto since = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<millis>(since).count());
+}
+
+} // namespace
+
+router_state::router_state(const boost::asio::any_io_executor& executor, router_settings given,
+                           platform_calls store, wire_format names)
+    : settings(std::move(given))
+    , calls(std::move(store))
+    , format(std::move(names))
+    , self{settings.peer_address, settings.zone, unix_ms()}
+    , started(boot_clock::now())
+    , changed(executor)
+{
+}
+
+bool router_state::take_routes(const std::string& text)
+{
+    try
+    {
+        auto table = calls.decode_routes(text);
+        if (routes && table.version <= routes->version)
+            return table.version == routes->version;
+        log_info(log_part::entry, "routes in force version=" + std::to_string(table.version) +
+                                      " routes=" + std::to_string(table.routes.size()));
+        routes = std::make_shared<const route_table>(std::move(table));
+        routes_text = text;
+        changed.notify();
+        return true;
+    }
+    catch (const exception& e)
+    {
+        log_error(log_part::platform, std::string("desired state ignored: ") + e.what());
+        counters.count("desired_states_ignored");
+        return false;
+    }
+}
+
+void router_state::take_ownership(const ownership_record& record)
+{
+    if (record.version <= ownership_version)
+        return;
+    ownership_version = record.version;
+    if (!(coordinator == record.coordinator))
+        log_info(log_part::ownership, "coordinator on record address=" +
+                                          record.coordinator.address +
+                                          " version=" + std::to_string(record.version));
+    coordinator = record.coordinator;
+    maps.clear();
+    for (const auto& service : record.services)
+        for (const auto& slice : service.slices)
+            maps[service.service].paint(slice);
+    changed.notify();
+}
+
+void router_state::take_slice(const slice_change& change)
+{
+    maps[change.service].paint(change.slice);
+    ownership_version = std::max(ownership_version, change.version);
+}
+
+bool router_state::take_push(const coordinator_push& push, instant now)
+{
+    const auto epoch = ownership_version >> epoch_shift;
+    const auto sender_epoch = push.ownership_version >> epoch_shift;
+    if (sender_epoch < epoch || (sender_epoch == epoch && !(push.sender == coordinator)))
+        return true; // an older coordinator that does not know yet
+    last_push = now;
+    if (!push.wants_successor)
+        successor_wanted = {};
+    else if (successor_wanted == instant{})
+        successor_wanted = now;
+    peers = push.peers;
+    for (const auto& item : push.use)
+        use[item.id] = item;
+    bool is_whole = sender_epoch == epoch && push.ownership_base <= ownership_version;
+    bool has_news = false;
+    if (is_whole)
+    {
+        for (const auto& change : push.ownership)
+            if (change.version > ownership_version)
+            {
+                maps[change.service].paint(change.slice);
+                has_news = true;
+            }
+        ownership_version = std::max(ownership_version, push.ownership_version);
+    }
+    const bool same_sender = push_sender == push.sender;
+    if (same_sender && push.workers_base <= push_revision)
+    {
+        for (const auto& change : push.workers)
+            has_news = workers.apply(change, now) || has_news;
+        push_revision = std::max(push_revision, push.workers_revision);
+    }
+    else if (!same_sender || push.workers_revision > push_revision)
+        is_whole = false;
+    if (!routes || push.routes_version > routes->version)
+        is_whole = false;
+    if (is_whole)
+        fresh_at = std::max(fresh_at, now - millis(push.age_ms));
+    if (has_news)
+        changed.notify();
+    return is_whole;
+}
+
+void router_state::take_copy(const state_copy& copy, const coordinator_identity& from, instant now)
+{
+    take_ownership(copy.ownership);
+    if (!copy.routes_text.empty() && (!routes || copy.routes_version > routes->version))
+        take_routes(copy.routes_text);
+    if (copy.workers_end > 0)
+    {
+        workers.replace(copy.workers, copy.workers_end, now);
+        workers_unknown = false;
+    }
+    push_sender = from;
+    push_revision = copy.workers_revision;
+    fresh_at = std::max(fresh_at, now - millis(copy.age_ms));
+    changed.notify();
+}
+
+state_copy router_state::make_copy(instant now) const
+{
+    state_copy copy;
+    copy.ownership = make_record();
+    copy.routes_version = routes ? routes->version : 0;
+    copy.routes_text = routes_text;
+    copy.workers = workers.changes_since(0);
+    copy.workers_revision = workers.revision();
+    copy.workers_end = workers.end_offset();
+    copy.age_ms = age_ms(now);
+    return copy;
+}
+
+ownership_record router_state::make_record() const
+{
+    ownership_record record;
+    record.coordinator = coordinator;
+    record.version = ownership_version;
+    for (const auto& [service, map] : maps)
+        record.services.push_back({service, {map.slices().begin(), map.slices().end()}});
+    return record;
+}
+
+std::uint32_t router_state::age_ms(instant now) const
+{
+    constexpr std::int64_t most = 1'000'000'000;
+    const auto age = std::chrono::duration_cast<millis>(now - fresh_at).count();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, most));
+}
+
+bool router_state::is_fresh(instant now) const
+{
+    return routes && now - fresh_at < fresh_time;
+}
+
+} // namespace eelgrassrail
--- a/tests/standins/backend.cpp
+++ b/tests/standins/backend.cpp
@@ -87,7 +87,7 @@
         , m_started(boot_clock::now())
         , m_listener(
               context.get_executor(), parse_tcp_address(address), {},
-              [this](http_call call) { return serve(std::move(call)); },
+              [this](http_call call, const auto&) { return serve(std::move(call)); },
               [](bool, bool) {
                   return http_reply{400, {}, {}};
               })
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -134,7 +134,7 @@
     constexpr std::size_t body_limit = 8UL * 1024UL * 1024;
     http_listener listener(
         context.get_executor(), parse_tcp_address(FLAGS_address), {.body_bytes = body_limit},
-        [&state](http_call call) { return state.serve(std::move(call)); },
+        [&state](http_call call, const auto&) { return state.serve(std::move(call)); },
         [](bool, bool) {
             return http_reply{400, {}, {}};
         });
