Name the worker in grants and releases; end a planned stop with the connections

Change: grants and releases carry the expected worker, as requests do; a source that has started again under its id is released too, as a stray renewal may have reached it; the stop waits until no caller's connection is open.

--- a/src/router/key_moves.cpp
+++ b/src/router/key_moves.cpp
@@ -47,6 +47,8 @@
     const auto link = m_links.get(worker);
     if (!link)
         co_return result;
+    // Another process may have the address by now; it must not take this worker's keys.
+    call.fields.push_back({m_state.format.expected_worker, worker.life.id});
     exchange_options options{.until = boot_clock::now() + timeout};
     result = co_await link->control.exchange(std::move(call), std::move(options));
     note_exchange(worker, result, boot_clock::now());
@@ -215,6 +217,8 @@
 asio::awaitable<std::string> key_coordinator::free_source(const key_move& move)
 {
     const auto& source = move.slice.previous;
+    // The same id may have started again, and a renewal for the life before may have reached the new
+    // one; so it is released as well.
     while (is_current(move) && m_book.may_hold(source, boot_clock::now()))
     {
         const auto* worker = m_state.workers.find(source.id);
@@ -223,11 +227,6 @@
             co_await pause(pause_after_failure);
             continue;
         }
-        if (worker->entry.life != source)
-        {
-            m_book.on_ended(source); // the same id has started again
-            break;
-        }
         if (m_state.workers.is_replaced(worker->entry))
         {
             m_book.on_ended(source); // its address was given to a worker that started later
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -196,7 +196,8 @@
     while (boot_clock::now() < std::min(accepts_until, ends_by))
         co_await pause(stop_poll);
     m_callers.stop();
-    while (m_path.in_flight() > 0 && boot_clock::now() < ends_by)
+    // A connection that has just been read may not have reached the request path yet.
+    while (m_path.in_flight() + m_callers.connections() > 0 && boot_clock::now() < ends_by)
         co_await pause(stop_poll);
     log_info(log_part::entry, "stopped in_flight=" + std::to_string(m_path.in_flight()));
     // Answers that were just written leave with the last turns of the context.
