Write a record only in the epoch that planned it; give a new coordinator time

A process that lost the duty and won it back went on to append the record of its earlier epoch, and painted that epoch's plan back into the new map; the duty came back at once because an old request for a successor was never cleared; and a process that had just read who coordinates claimed before it could hear of it.

Change: write_record and the undo of a plan stop when the epoch has changed; a new coordinator on record clears the request and counts as heard when it was read.

--- a/include/eelgrassrail/router/router_state.hpp
+++ b/include/eelgrassrail/router/router_state.hpp
@@ -71,6 +71,7 @@
     std::map<std::string, key_map, std::less<>> maps; ///< by service
     std::uint64_t ownership_version{};                ///< of `maps`; never falls
     coordinator_identity coordinator;                 ///< on record
+    instant coordinator_since{};                      ///< it is on record here since then
     instant fresh_at{};                               ///< the streams were read to their ends
     instant last_push{};                              ///< from the coordinator on record
     instant successor_wanted{}; ///< the coordinator has asked for one since; none: it has not
--- a/src/router/key_coordinator.cpp
+++ b/src/router/key_coordinator.cpp
@@ -126,7 +126,7 @@
     const auto& on_record = m_state.coordinator;
     result.is_on_record = !on_record.address.empty();
     result.was_own_address = on_record.address == m_state.self.address;
-    result.last_heard = std::max(m_state.last_push, m_state.started);
+    result.last_heard = std::max({m_state.last_push, m_state.started, m_state.coordinator_since});
     result.successor_wanted = m_state.successor_wanted;
     std::vector<std::string> others;
     std::ranges::copy_if(m_state.peers, std::back_inserter(others),
@@ -188,17 +188,19 @@
              "claimed before=" + before.address + " epoch=" + std::to_string(epoch()) +
                  " heard_ms_ago=" +
                  std::to_string(std::chrono::duration_cast<millis>(asked - m_state.last_push).count()));
+    m_confirmed_at = asked;
     if (before.address == m_state.self.address)
         take_duty(m_state.started);
     else
         take_duty(boot_clock::now() + (before.address.empty() ? millis(0) : duty_lease));
-    m_confirmed_at = asked;
 }
 
 /// @param last_grants instant up to which others may have sent grants
 void key_coordinator::take_duty(instant last_grants)
 {
     m_is_active = true;
+    m_state.successor_wanted = {};
+    m_store_served_other = {};
     m_push_base = m_state.ownership_version;
     m_changes.clear();
     m_revisions.clear();
@@ -292,7 +294,9 @@
     const auto text = write_message(record);
     constexpr int most_tries = 20;
     bool was_unknown = false;
-    for (int n = 0; n < most_tries && m_is_active; ++n)
+    const auto began = epoch();
+    // The duty may end and come back while this task waits; the record is of the epoch before then.
+    for (int n = 0; n < most_tries && m_is_active && began == epoch(); ++n)
     {
         const auto asked = boot_clock::now();
         const auto at = m_stream_end;
@@ -329,7 +333,8 @@
                 m_stream_end = std::max(m_stream_end, at + 1);
                 continue;
             }
-            step_down("lost the race for a record");
+            if (began == epoch())
+                step_down("lost the race for a record");
             if (first)
                 m_state.take_ownership(*first);
             co_return false;
--- a/src/router/key_moves.cpp
+++ b/src/router/key_moves.cpp
@@ -135,7 +135,7 @@
         if (!co_await write_record("moves"))
         {
             log_warning(log_part::ownership, "moves wait: the record could not be written");
-            if (m_is_active)
+            if (m_is_active && moves.front().epoch == epoch())
                 for (auto& move : moves)
                 {
                     // Nothing was granted yet: the owner before is still the owner.
--- a/src/router/router_state.cpp
+++ b/src/router/router_state.cpp
@@ -65,6 +65,11 @@
         log_info(log_part::ownership, "coordinator on record address=" +
                                           record.coordinator.address +
                                           " version=" + std::to_string(record.version));
+    if (!(coordinator == record.coordinator))
+    {
+        coordinator_since = boot_clock::now();
+        successor_wanted = {};
+    }
     coordinator = record.coordinator;
     maps.clear();
     for (const auto& service : record.services)
