Judge keys by two memories, cut the densest piece, balance only what queues

Requests for keys whose owner was lost waited a second to be refused. Workers without keys were chosen over zones.

Change: key_load keeps 1 s and 8 s and takes the short one for bins of 64 keys where both differ by 4 standard deviations; find_piece takes the shortest range with the wanted load; nothing moves below 0.6 of a worker's capacity; capacity in requests a second; a wait for an owner counts from the begin of its move; near workers within 0.45 of the objective count as equal.

--- a/include/eelgrassrail/grants/key_balancer.hpp
+++ b/include/eelgrassrail/grants/key_balancer.hpp
@@ -17,7 +17,7 @@
 struct key_worker
 {
     worker_life life;
-    double capacity{1.0}; ///< relative: slots times speed; positive
+    double capacity{1.0}; ///< requests a second that keep all its slots busy; positive
     bool may_change{true}; ///< false: it keeps what it has and gets nothing
 };
 
@@ -33,6 +33,7 @@
 /// Limits of one plan.
 struct balance_limits
 {
+    double calm{0.6};        ///< share of its capacity up to which a worker hardly queues
     double tolerance{0.2};   ///< a worker may carry this much more than its share, relative
     double least_gain{1.0};  ///< requests a second that a move must shift
     std::size_t moves{4};    ///< most moves between live workers in one plan
--- a/include/eelgrassrail/grants/key_load.hpp
+++ b/include/eelgrassrail/grants/key_load.hpp
@@ -1,10 +1,16 @@
-/// Requests a second of each key, over the last seconds.
+/// Requests a second of each key.
+///
+/// Pattern answered: neighbouring keys that suddenly take a third of all requests, and stop as
+/// suddenly, among keys whose load hardly changes. A short memory sees the change within some
+/// hundred ms and is noisy; a long one is steady. Where both differ by more than chance explains,
+/// the short one counts.
 #pragma once
 
 #include <eelgrassrail/core/clock.hpp>
 #include <eelgrassrail/grants/key_slice.hpp>
 
 #include <cstdint>
+#include <span>
 #include <vector>
 
 namespace eelgrassrail
@@ -14,8 +20,7 @@
 class key_load
 {
   public:
-    /// @param memory after this time a request counts 1/e
-    explicit key_load(millis memory, instant start);
+    explicit key_load(instant start);
 
     /// @brief Counts requests for a key.
     void add(std::uint32_t key, double requests = 1.0);
@@ -38,10 +43,13 @@
                                       double wanted) const;
 
   private:
-    millis m_memory;
+    /// Sums up one bin of keys with the memory that describes it.
+    double settle_bin(std::uint32_t first, double fast_cover, double slow_cover, double sum);
+
     instant m_start;
     instant m_settled;
-    std::vector<float> m_counts;
+    std::vector<float> m_fast;  ///< counts with the short memory
+    std::vector<float> m_slow;  ///< counts with the long memory
     std::vector<double> m_sums; ///< m_sums[k]: rate of all keys below k
 };
 
--- a/include/eelgrassrail/grants/key_slice.hpp
+++ b/include/eelgrassrail/grants/key_slice.hpp
@@ -21,13 +21,17 @@
     worker_life owner;     ///< an empty id: nobody
     bool is_ready{};       ///< the owner has confirmed its grant; requests may be sent
     worker_life previous;  ///< while not ready: who may still hold the keys; an empty id: nobody
+    instant changed{};     ///< when this process learned of it; not sent to others
 
     [[nodiscard]] bool same_state(const key_slice& other) const noexcept
     {
         return owner == other.owner && is_ready == other.is_ready && previous == other.previous;
     }
 
-    bool operator==(const key_slice&) const = default;
+    bool operator==(const key_slice& other) const noexcept
+    {
+        return first == other.first && last == other.last && same_state(other);
+    }
 };
 BOOST_DESCRIBE_STRUCT(key_slice, (), (first, last, owner, is_ready, previous))
 
--- a/include/eelgrassrail/grants/worker_speed.hpp
+++ b/include/eelgrassrail/grants/worker_speed.hpp
@@ -20,7 +20,7 @@
     [[nodiscard]] double low_quartile_ms() const noexcept;
 
   private:
-    static constexpr std::size_t kept = 24;
+    static constexpr std::size_t kept = 32;
     static constexpr std::size_t least = 5;
 
     std::array<float, kept> m_times{}; ///< the last `m_count` times, oldest overwritten
--- a/include/eelgrassrail/router/router_state.hpp
+++ b/include/eelgrassrail/router/router_state.hpp
@@ -58,6 +58,10 @@
     /// @brief The state allows requests to be served.
     [[nodiscard]] bool can_serve() const { return routes != nullptr && !workers_unknown; }
 
+  private:
+    void paint(const slice_change& change);
+
+  public:
     const router_settings settings;
     const platform_calls calls;
     const wire_format format;
--- a/include/eelgrassrail/routing/worker_choice.hpp
+++ b/include/eelgrassrail/routing/worker_choice.hpp
@@ -35,10 +35,11 @@
 [[nodiscard]] double expected_ms(const worker_option& option) noexcept;
 
 /// @brief The worker with the least expected time; failures and distance count as time.
+/// @param comfort_ms expected times below this are as good as each other
 /// @param draw random number from 0 to 1 that decides between workers that are about equal
 /// @return nothing if all are excluded
 /// @complexity linear in the number of workers
 [[nodiscard]] std::optional<worker_pick> choose_worker(std::span<const worker_option> options,
-                                                       double draw);
+                                                       double comfort_ms, double draw);
 
 } // namespace eelgrassrail
--- a/src/grants/key_balancer.cpp
+++ b/src/grants/key_balancer.cpp
@@ -2,7 +2,6 @@
 #include <eelgrassrail/grants/key_balancer.hpp>
 
 #include <algorithm>
-#include <cmath>
 #include <numeric>
 #include <set>
 
@@ -101,47 +100,93 @@
             return false;
         auto& full = *std::ranges::max_element(m_shares, {}, &share::filling);
         auto& empty = *std::ranges::min_element(m_shares, {}, &share::filling);
-        const double excess = std::min(-full.lack(), std::max(empty.lack(), -full.lack() / 2));
-        const bool is_worth = -full.lack() > full.fair * m_limits.tolerance &&
-                              excess >= m_limits.least_gain;
-        const bool is_unused = empty.load == 0 && full.lack() < empty.fair;
-        if (!is_worth && !is_unused)
+        const double excess = -full.lack();
+        const double gain = std::min(excess, std::max(empty.lack(), excess / 2));
+        const bool is_worth = full.filling() > m_limits.calm &&
+                              excess > full.fair * m_limits.tolerance &&
+                              gain >= m_limits.least_gain;
+        if (!is_worth && empty.load > 0)
             return false;
-        const double wanted = is_worth ? excess : empty.fair;
-        key_slice* best = nullptr;
-        std::uint32_t best_first = 0;
-        double best_error = wanted;
-        for (auto& slice : m_slices)
+        const auto found = find_piece(full.worker->life, is_worth ? gain : empty.fair);
+        if (found == m_slices.end())
+            return false;
+        const auto piece = *found;
+        full.load -= m_load.rate(piece.first, piece.last);
+        move(piece.first, piece.last, piece.owner, empty);
+        found->is_ready = false; // it is on its way and is not looked at again
+        return true;
+    }
+
+    /// Cuts a piece of about the wanted load out of a worker's slices: the one with the fewest keys.
+    std::vector<key_slice>::iterator find_piece(const worker_life& owner, double wanted)
+    {
+        constexpr double least_part = 0.5; // a piece that is lighter is not worth a move
+        constexpr double most_part = 1.25;
+        auto from = m_slices.end();
+        key_slice best;
+        for (auto it = m_slices.begin(); it != m_slices.end(); ++it)
         {
-            if (!slice.is_ready || slice.owner != full.worker->life)
+            if (!it->is_ready || it->owner != owner ||
+                m_load.rate(it->first, it->last) < wanted * least_part)
+                continue;
+            const auto piece = densest(*it, wanted);
+            const double load = m_load.rate(piece.first, piece.last);
+            if (load < wanted * least_part || load > wanted * most_part)
                 continue;
-            const double whole = m_load.rate(slice.first, slice.last);
-            // The piece is the end of a slice; keys are not moved one by one from its middle.
-            const auto cut = whole <= wanted
-                                 ? slice.first
-                                 : m_load.reach(slice.first, slice.last, whole - wanted) + 1;
-            for (const auto first : {cut, cut == slice.first ? cut : cut - 1})
+            if (from == m_slices.end() || piece.last - piece.first < best.last - best.first)
             {
-                if (first > slice.last)
-                    continue;
-                const double error = std::abs(m_load.rate(first, slice.last) - wanted);
-                if (error < best_error)
-                {
-                    best = &slice;
-                    best_first = first;
-                    best_error = error;
-                }
+                from = it;
+                best = piece;
             }
         }
-        if (best == nullptr)
-            return false;
-        full.load -= m_load.rate(best_first, best->last);
-        move(best_first, best->last, best->owner, empty);
-        if (best_first == best->first)
-            best->is_ready = false; // it moves as a whole and is not looked at again
-        else
-            best->last = best_first - 1;
-        return true;
+        return from == m_slices.end() ? from : split(from, best);
+    }
+
+    /// The shortest range of a slice that carries about the wanted load.
+    [[nodiscard]] key_slice densest(const key_slice& slice, double wanted) const
+    {
+        constexpr double enough = 0.9;
+        constexpr std::uint32_t steps = 64; // starts that are tried in a slice
+        auto best = slice;
+        if (m_load.rate(slice.first, slice.last) <= wanted)
+            return best;
+        // Quantiles of the load are dense where keys are hot.
+        const double whole = m_load.rate(slice.first, slice.last);
+        for (std::uint32_t n = 0; n < steps; ++n)
+        {
+            const auto first =
+                n == 0 ? slice.first : m_load.reach(slice.first, slice.last, whole * n / steps);
+            const auto last = m_load.reach(first, slice.last, wanted * enough);
+            if (m_load.rate(first, last) >= wanted * enough &&
+                last - first < best.last - best.first)
+            {
+                best.first = first;
+                best.last = last;
+            }
+        }
+        return best;
+    }
+
+    /// Replaces a slice by its parts.
+    /// @return the part that is the piece
+    std::vector<key_slice>::iterator split(std::vector<key_slice>::iterator at,
+                                           const key_slice& piece)
+    {
+        const auto whole = *at;
+        if (whole.last > piece.last)
+        {
+            auto tail = whole;
+            tail.first = piece.last + 1;
+            at = std::prev(m_slices.insert(std::next(at), tail));
+        }
+        *at = piece;
+        if (whole.first < piece.first)
+        {
+            auto head = whole;
+            head.last = piece.first - 1;
+            at = std::next(m_slices.insert(at, head));
+        }
+        return at;
     }
 
     const key_load& m_load;
--- a/src/grants/key_load.cpp
+++ b/src/grants/key_load.cpp
@@ -1,14 +1,24 @@
-/// Decaying counts and their prefix sums.
+/// Two memories and their prefix sums.
 #include <eelgrassrail/grants/key_load.hpp>
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace eelgrassrail
 {
 namespace
 {
 
+constexpr double fast_memory_s = 1.0; ///< hot neighbours come and go within four seconds
+constexpr double slow_memory_s = 8.0;
+
+/// Keys that are judged together; hot neighbours are some dozen keys or more.
+constexpr std::uint32_t bin_keys = 64;
+
+/// Standard deviations by which the memories have to differ.
+constexpr double significance = 4.0;
+
 /// All keys together count as this many requests a second, spread evenly, so that keys without
 /// requests are divided too.
 constexpr double even_rate = 2.0;
@@ -18,13 +28,20 @@
     return std::chrono::duration<double>(length).count();
 }
 
+/// Seconds of requests that the counts hold; right after the start less than the whole memory.
+double cover(double memory_s, double running_s)
+{
+    constexpr double least = 0.1;
+    return memory_s * std::max(least, 1.0 - std::exp(-running_s / memory_s));
+}
+
 } // namespace
 
-key_load::key_load(millis memory, instant start)
-    : m_memory(memory)
-    , m_start(start)
+key_load::key_load(instant start)
+    : m_start(start)
     , m_settled(start)
-    , m_counts(key_count)
+    , m_fast(key_count)
+    , m_slow(key_count)
     , m_sums(key_count + 1)
 {
     settle(start);
@@ -32,26 +49,49 @@
 
 void key_load::add(std::uint32_t key, double requests)
 {
-    if (key < key_count)
-        m_counts[key] += static_cast<float>(requests);
+    if (key >= key_count)
+        return;
+    m_fast[key] += static_cast<float>(requests);
+    m_slow[key] += static_cast<float>(requests);
 }
 
 void key_load::settle(instant now)
 {
-    const double memory = seconds(m_memory);
-    const auto decay = static_cast<float>(std::exp(-seconds(now - m_settled) / memory));
+    const double passed = seconds(now - m_settled);
     m_settled = now;
-    // Right after the start the counts cover less than the whole memory.
-    constexpr double least_cover = 0.1;
-    const double cover =
-        memory * std::max(least_cover, 1.0 - std::exp(-seconds(now - m_start) / memory));
+    const auto decay = [passed](std::vector<float>& counts, double memory_s)
+    {
+        const auto factor = static_cast<float>(std::exp(-passed / memory_s));
+        std::ranges::for_each(counts, [factor](float& n) { n *= factor; });
+    };
+    decay(m_fast, fast_memory_s);
+    decay(m_slow, slow_memory_s);
+    const double running = seconds(now - m_start);
+    const double fast_cover = cover(fast_memory_s, running);
+    const double slow_cover = cover(slow_memory_s, running);
     double sum = 0;
-    for (std::uint32_t key = 0; key < key_count; ++key)
+    for (std::uint32_t first = 0; first < key_count; first += bin_keys)
+        sum = settle_bin(first, fast_cover, slow_cover, sum);
+}
+
+double key_load::settle_bin(std::uint32_t first, double fast_cover, double slow_cover, double sum)
+{
+    const auto count = [first](const std::vector<float>& counts)
+    {
+        const auto begin = counts.begin() + first;
+        return std::accumulate(begin, begin + bin_keys, 0.0);
+    };
+    const double seen = count(m_fast);
+    const double expected = count(m_slow) / slow_cover * fast_cover;
+    const bool is_changed = std::abs(seen - expected) > significance * std::sqrt(expected + 1.0);
+    const auto& counts = is_changed ? m_fast : m_slow;
+    const double covered = is_changed ? fast_cover : slow_cover;
+    for (std::uint32_t key = first; key < first + bin_keys; ++key)
     {
-        m_counts[key] *= decay;
-        sum += static_cast<double>(m_counts[key]) / cover + even_rate / key_count;
+        sum += static_cast<double>(counts[key]) / covered + even_rate / key_count;
         m_sums[key + 1] = sum;
     }
+    return sum;
 }
 
 std::uint32_t key_load::reach(std::uint32_t first, std::uint32_t last, double wanted) const
--- a/src/router/key_coordinator.cpp
+++ b/src/router/key_coordinator.cpp
@@ -44,7 +44,6 @@
 /// successor: it can renew grants but move none. Longer than a waiting read of the stream.
 constexpr millis stuck_time{3'000};
 constexpr millis crash_memory{10'000};
-constexpr millis load_memory{4'000};
 
 /// Largest push; what does not fit in is fetched as a copy.
 constexpr std::size_t most_changes = 200;
@@ -436,7 +435,7 @@
     }
     for (const auto& seen : report.keys)
     {
-        auto& load = m_loads.try_emplace(seen.service, load_memory, now).first->second;
+        auto& load = m_loads.try_emplace(seen.service, now).first->second;
         for (const auto key : seen.keys)
             load.add(key);
     }
--- a/src/router/key_moves.cpp
+++ b/src/router/key_moves.cpp
@@ -22,17 +22,20 @@
 constexpr millis release_timeout{2'500};
 
 constexpr millis pause_after_failure{150};
-constexpr millis load_memory{4'000};
-constexpr std::size_t most_balance_moves = 6; ///< on their way at a time, of all services
+constexpr std::size_t most_balance_moves = 12; ///< on their way at a time, of all services
 constexpr int most_grant_tries = 8;
 
 /// A worker that has answered no grant for this time, two renewals, gets no more keys.
 constexpr millis renewal_silence{4'500};
 
-constexpr double least_speed = 0.2;
-constexpr double most_speed = 3.0;
 constexpr double cold_capacity = 0.5; ///< a worker that has just started is about half as fast
 
+/// Run time that is assumed while no answer was seen.
+constexpr double first_run_ms = 200.0;
+
+/// Mean of the run times over their lower quartile, for the spread that the users name.
+constexpr double mean_over_quartile = 1.25;
+
 std::string range_text(const key_slice& slice)
 {
     return std::to_string(slice.first) + "-" + std::to_string(slice.last);
@@ -79,7 +82,7 @@
         if (const double t = m_workers[worker->entry.life.id].speed.low_quartile_ms(); t > 0)
             times.push_back(t);
     std::ranges::sort(times);
-    const double middle = times.empty() ? 0 : times[times.size() / 2];
+    const double middle = times.empty() ? first_run_ms : times[times.size() / 2];
     std::vector<key_worker> result;
     for (const auto* worker : ready)
     {
@@ -88,10 +91,12 @@
             continue;
         key_worker usable;
         usable.life = worker->entry.life;
-        const double time = record.speed.low_quartile_ms();
-        const double speed =
-            time > 0 && middle > 0 ? std::clamp(middle / time, least_speed, most_speed) : 1.0;
-        usable.capacity = worker->entry.slots * speed * std::max(0.1, 1.0 - record.failing) *
+        const double known = record.speed.low_quartile_ms();
+        const double run_ms = (known > 0 ? known : middle) * mean_over_quartile;
+        constexpr double ms_in_s = 1'000.0;
+        constexpr double least_success = 0.1;
+        usable.capacity = worker->entry.slots * ms_in_s / run_ms *
+                          std::max(least_success, 1.0 - record.failing) *
                           (worker->is_cold(now) ? cold_capacity : 1.0);
         usable.may_change = record.refusals == 0 &&
                             (record.last_answered == instant{} ||
@@ -112,7 +117,7 @@
         {
             if (!terms.divided_by_key)
                 continue;
-            auto& load = m_loads.try_emplace(terms.name, load_memory, now).first->second;
+            auto& load = m_loads.try_emplace(terms.name, now).first->second;
             load.settle(now);
             balance_limits limits;
             limits.moves = m_moving < most_balance_moves ? most_balance_moves - m_moving : 0;
--- a/src/router/request_path.cpp
+++ b/src/router/request_path.cpp
@@ -20,10 +20,13 @@
 namespace
 {
 
-/// Longest wait for an owner of a key. A planned move takes the time of one run; what takes longer is
-/// an owner that was lost, which takes seconds.
+/// Longest wait for an owner of a key, from the begin of its move. A planned move takes the time of
+/// one run; what takes longer is an owner that was lost, which takes seconds.
 constexpr millis longest_owner_wait{1'000};
 
+/// Wait of a request whose key has no owner for longer than that.
+constexpr millis shortest_owner_wait{50};
+
 /// Part of the retries of all processes that a process takes for its own requests; the rest is room
 /// for processes that come and go.
 constexpr double own_retry_share = 0.7;
@@ -36,6 +39,9 @@
 constexpr double first_typical_ms = 200.0;
 constexpr double newest_weight = 0.05;
 
+/// Part of the objective up to which an expected time leaves room for runs that take longer.
+constexpr double comfort = 0.45;
+
 constexpr std::size_t most_keys = 512; ///< of one report
 
 double ms(boot_clock::duration length)
@@ -101,9 +107,9 @@
     const auto* worker = pick(request, wait_ms);
     if (worker == nullptr && request.key && wait_ms == 0)
     {
-        const auto until = std::min(request.give_up, request.arrived + longest_owner_wait);
+        const auto until = std::min(request.give_up, owner_expected_by(request));
         if (now >= until)
-            co_return refuse(request, error_kind::no_owner, ms(longest_owner_wait) / 2);
+            co_return refuse(request, error_kind::no_owner, ms(longest_owner_wait));
         co_await m_state.changed.wait(until - now);
         co_return std::nullopt;
     }
@@ -118,6 +124,15 @@
     co_return co_await send(request, *worker);
 }
 
+/// Until when a request waits for an owner of its key.
+instant request_path::owner_expected_by(const routed_request& request) const
+{
+    const auto map = m_state.maps.find(request.service);
+    const auto moving_since =
+        map == m_state.maps.end() ? m_state.started : map->second.find(*request.key).changed;
+    return std::max(moving_since + longest_owner_wait, request.arrived + shortest_owner_wait);
+}
+
 const known_worker* request_path::pick(routed_request& request, double& wait_ms)
 {
     if (request.terms->divided_by_key)
@@ -132,7 +147,8 @@
         options.back().is_excluded = request.refused_by.contains(worker->entry.life.id);
     }
     std::uniform_real_distribution<double> draw(0, 1);
-    const auto best = choose_worker(options, draw(m_random));
+    const auto best =
+        choose_worker(options, ms(request.way->objective) * comfort, draw(m_random));
     if (!best)
     {
         wait_ms = request.refused_by.empty() ? 0 : typical_ms(request.service);
--- a/src/router/router_state.cpp
+++ b/src/router/router_state.cpp
@@ -73,14 +73,24 @@
     coordinator = record.coordinator;
     maps.clear();
     for (const auto& service : record.services)
-        for (const auto& slice : service.slices)
+        for (auto slice : service.slices)
+        {
+            slice.changed = coordinator_since;
             maps[service.service].paint(slice);
+        }
     changed.notify();
 }
 
+void router_state::paint(const slice_change& change)
+{
+    auto slice = change.slice;
+    slice.changed = boot_clock::now();
+    maps[change.service].paint(slice);
+}
+
 void router_state::take_slice(const slice_change& change)
 {
-    maps[change.service].paint(change.slice);
+    paint(change);
     ownership_version = std::max(ownership_version, change.version);
 }
 
@@ -105,7 +115,7 @@
         for (const auto& change : push.ownership)
             if (change.version > ownership_version)
             {
-                maps[change.service].paint(change.slice);
+                paint(change);
                 has_news = true;
             }
         ownership_version = std::max(ownership_version, push.ownership_version);
--- a/src/routing/worker_choice.cpp
+++ b/src/routing/worker_choice.cpp
@@ -13,7 +13,7 @@
 constexpr double runs_lost_by_failure = 6.0;
 
 /// A worker in another zone has to be this much better, relative, to get the request.
-constexpr double distance_factor = 1.1;
+constexpr double distance_factor = 1.3;
 
 /// Entries that see the same figures would all choose the same worker; the draw spreads them.
 constexpr double spread = 0.15;
@@ -27,7 +27,8 @@
     return option.run_ms * (1.0 + rounds);
 }
 
-std::optional<worker_pick> choose_worker(std::span<const worker_option> options, double draw)
+std::optional<worker_pick> choose_worker(std::span<const worker_option> options, double comfort_ms,
+                                         double draw)
 {
     std::optional<worker_pick> best;
     double best_price = 0;
@@ -39,7 +40,7 @@
             continue;
         const double expected = expected_ms(option);
         const double own_draw = std::fmod(draw + golden * static_cast<double>(n), 1.0);
-        const double price = expected * (1.0 + runs_lost_by_failure * option.failing) *
+        const double price = std::max(expected, comfort_ms) * (1.0 + runs_lost_by_failure * option.failing) *
                              (option.is_near ? 1.0 : distance_factor) * (1.0 + spread * own_draw);
         if (best && price >= best_price)
             continue;
