Give a heavy single key to the fastest worker; learn run times without queues

Run times were the low quartile of all answers: a few short ones made 294 requests a second of a worker. Keys were counted when they were sent, so refused demand was not seen.

Change: keys count at arrival; a key heavier than wanted goes to the worker with the largest capacity, which then gives other slices away; all workers above the calm filling are tried; run times are the median of requests that found a free slot, and the rate of answers while a worker is full.

--- a/include/eelgrassrail/grants/worker_speed.hpp
+++ b/include/eelgrassrail/grants/worker_speed.hpp
@@ -9,15 +9,21 @@
 namespace eelgrassrail
 {
 
-/// A quartile of the answers' times: short ones show the speed without a queue.
+/// The median of requests that found a free slot shows the speed; while there are none, because the
+/// worker is full, the rate of its answers does.
 class worker_speed
 {
   public:
-    /// @brief A request was answered.
+    /// @brief A request that found a free slot was answered.
     void add(double took_ms) noexcept;
 
-    /// @brief Quartile of the recent answers' times; 0 if there are too few.
-    [[nodiscard]] double low_quartile_ms() const noexcept;
+    /// @brief Requests were answered, and others wait.
+    /// @param in_flight of all processes
+    void on_answers(std::size_t answers, std::size_t in_flight, std::size_t slots,
+                    instant now) noexcept;
+
+    /// @brief Time of a typical run; 0 if too little is known.
+    [[nodiscard]] double typical_ms() const noexcept;
 
   private:
     static constexpr std::size_t kept = 32;
@@ -25,6 +31,9 @@
 
     std::array<float, kept> m_times{}; ///< the last `m_count` times, oldest overwritten
     std::size_t m_count{};
+    instant m_full_since{};   ///< all slots are taken since then; none: they are not
+    double m_full_answers{};  ///< answers since then
+    double m_full_ms{};       ///< run time that they show; 0: unknown
 };
 
 } // namespace eelgrassrail
--- a/include/eelgrassrail/router/request_path.hpp
+++ b/include/eelgrassrail/router/request_path.hpp
@@ -47,6 +47,7 @@
 
     [[nodiscard]] const known_worker* pick(routed_request& request, double& wait_ms);
     [[nodiscard]] const known_worker* pick_owner(routed_request& request, double& wait_ms) const;
+    void count_arrival(const routed_request& request);
     [[nodiscard]] instant owner_expected_by(const routed_request& request) const;
     [[nodiscard]] worker_option describe_worker(const known_worker& worker, instant now) const;
     [[nodiscard]] http_call to_worker(const routed_request& request,
--- a/include/eelgrassrail/router/routed_request.hpp
+++ b/include/eelgrassrail/router/routed_request.hpp
@@ -31,7 +31,6 @@
     instant give_up{};              ///< the earlier of the caller's deadline and the route's timeout
     unsigned sent{};                ///< workers that it was sent to
     bool may_have_run{};            ///< a worker may have begun to run it
-    bool counted{};                 ///< in the key counts and the retry budget
     std::set<std::string> refused_by; ///< ids of workers that did not run it
     std::string last_worker;
 };
--- a/include/eelgrassrail/router/router_message.hpp
+++ b/include/eelgrassrail/router/router_message.hpp
@@ -19,9 +19,10 @@
     std::string id;
     std::uint32_t in_flight{};      ///< requests that it has at the worker now
     std::uint32_t failures{};       ///< answers that were no whole answer, or a failure's
-    std::vector<std::uint16_t> times_ms; ///< of the requests that were answered
+    std::uint32_t answers{};             ///< whole answers that were no failure
+    std::vector<std::uint16_t> times_ms; ///< of answers to requests that found a free slot
 };
-BOOST_DESCRIBE_STRUCT(worker_sight, (), (id, in_flight, failures, times_ms))
+BOOST_DESCRIBE_STRUCT(worker_sight, (), (id, in_flight, failures, answers, times_ms))
 
 /// Requests for keys of one service since the last report.
 struct key_sight
@@ -58,7 +59,7 @@
 {
     std::string id;
     std::uint32_t in_flight{};
-    std::uint32_t typical_ms{}; ///< low quartile of its answers' times; 0: unknown
+    std::uint32_t typical_ms{}; ///< time of a typical run; 0: unknown
 };
 BOOST_DESCRIBE_STRUCT(worker_use, (), (id, in_flight, typical_ms))
 
--- a/include/eelgrassrail/router/worker_link.hpp
+++ b/include/eelgrassrail/router/worker_link.hpp
@@ -21,9 +21,10 @@
     void on_start() noexcept { ++m_in_flight; }
 
     /// @brief The request has ended.
-    /// @param is_success a whole answer came that is no failure of the worker
+    /// @param is_success the end is no failure of the worker
+    /// @param is_answer a whole answer came that is no failure
     /// @param is_timed the time tells how fast the worker runs requests
-    void on_end(bool is_success, bool is_timed, millis took, instant now);
+    void on_end(bool is_success, bool is_answer, bool is_timed, millis took, instant now);
 
     /// @brief Share of recent requests that failed, 0 to 1; it decays while nothing is sent.
     [[nodiscard]] double failing(instant now) const noexcept;
--- a/src/grants/key_balancer.cpp
+++ b/src/grants/key_balancer.cpp
@@ -2,6 +2,7 @@
 #include <eelgrassrail/grants/key_balancer.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <numeric>
 #include <set>
 
@@ -93,30 +94,81 @@
         m_moves.push_back({first, last, source, target.worker->life});
     }
 
-    /// Moves one piece from the fullest worker to the emptiest one; false if nothing is gained.
+    /// Makes the most useful move; false if there is none.
     bool shift()
     {
         if (m_shares.size() < 2)
             return false;
-        auto& full = *std::ranges::max_element(m_shares, {}, &share::filling);
-        auto& empty = *std::ranges::min_element(m_shares, {}, &share::filling);
+        std::vector<share*> fullest;
+        std::ranges::transform(m_shares, std::back_inserter(fullest), [](share& s) { return &s; });
+        std::ranges::sort(fullest, std::greater{}, &share::filling);
+        for (auto* full : fullest)
+            if (full->filling() > m_limits.calm && relieve(*full, *fullest.back()))
+                return true;
+        if (fullest.back()->load > 0)
+            return false;
+        return take_piece(*fullest.front(), *fullest.back(), fullest.back()->fair);
+    }
+
+    /// Takes load off one worker.
+    bool relieve(share& full, share& empty)
+    {
         const double excess = -full.lack();
         const double gain = std::min(excess, std::max(empty.lack(), excess / 2));
-        const bool is_worth = full.filling() > m_limits.calm &&
-                              excess > full.fair * m_limits.tolerance &&
-                              gain >= m_limits.least_gain;
-        if (!is_worth && empty.load > 0)
-            return false;
-        const auto found = find_piece(full.worker->life, is_worth ? gain : empty.fair);
-        if (found == m_slices.end())
+        if (excess <= full.fair * m_limits.tolerance || gain < m_limits.least_gain)
             return false;
-        const auto piece = *found;
-        full.load -= m_load.rate(piece.first, piece.last);
-        move(piece.first, piece.last, piece.owner, empty);
+        return take_piece(full, empty, gain) || relocate_heavy_key(full, gain) ||
+               take_small_slice(full, empty);
+    }
+
+    bool take_piece(share& full, share& empty, double wanted)
+    {
+        const auto found = find_piece(full.worker->life, wanted);
+        return found != m_slices.end() && hand_over(found, full, empty);
+    }
+
+    bool hand_over(std::vector<key_slice>::iterator found, share& full, share& target)
+    {
+        full.load -= m_load.rate(found->first, found->last);
+        move(found->first, found->last, found->owner, target);
         found->is_ready = false; // it is on its way and is not looked at again
         return true;
     }
 
+    /// A key has one owner, so a key that is heavier than what a worker can run goes to the worker
+    /// that can run the most of it.
+    bool relocate_heavy_key(share& full, double wanted)
+    {
+        constexpr double least_improvement = 1.2; // of capacity; a move interrupts the key
+        auto& best = *std::ranges::max_element(
+            m_shares, {}, [](const share& s) { return s.worker->capacity; });
+        if (best.worker->capacity < full.worker->capacity * least_improvement)
+            return false;
+        for (auto it = m_slices.begin(); it != m_slices.end(); ++it)
+        {
+            if (!it->is_ready || it->owner != full.worker->life)
+                continue;
+            const auto piece = densest(*it, wanted);
+            if (piece.first == piece.last && m_load.rate(piece.first, piece.last) >= wanted)
+                return hand_over(split(it, piece), full, best);
+        }
+        return false;
+    }
+
+    /// A worker that is full of one key gives its other keys away.
+    bool take_small_slice(share& full, share& empty)
+    {
+        const auto it = std::ranges::find_if(
+            m_slices,
+            [&](const key_slice& slice)
+            {
+                const double load = m_load.rate(slice.first, slice.last);
+                return slice.is_ready && slice.owner == full.worker->life &&
+                       load >= m_limits.least_gain && load <= empty.lack();
+            });
+        return it != m_slices.end() && hand_over(it, full, empty);
+    }
+
     /// Cuts a piece of about the wanted load out of a worker's slices: the one with the fewest keys.
     std::vector<key_slice>::iterator find_piece(const worker_life& owner, double wanted)
     {
--- a/src/grants/worker_speed.cpp
+++ b/src/grants/worker_speed.cpp
@@ -1,4 +1,4 @@
-/// Low quartile of recent times.
+/// Median of recent times, and rate while full.
 #include <eelgrassrail/grants/worker_speed.hpp>
 
 #include <algorithm>
@@ -12,15 +12,41 @@
     ++m_count;
 }
 
-double worker_speed::low_quartile_ms() const noexcept
+void worker_speed::on_answers(std::size_t answers, std::size_t in_flight, std::size_t slots,
+                              instant now) noexcept
+{
+    constexpr double least_answers = 6; // fewer say little about a rate
+    if (in_flight < slots)
+    {
+        m_full_since = {};
+        return;
+    }
+    if (m_full_since == instant{})
+    {
+        m_full_since = now;
+        m_full_answers = 0;
+        return;
+    }
+    m_full_answers += static_cast<double>(answers);
+    if (m_full_answers < least_answers)
+        return;
+    const double passed_ms =
+        std::chrono::duration<double, std::milli>(now - m_full_since).count();
+    m_full_ms = passed_ms * static_cast<double>(slots) / m_full_answers;
+    m_full_since = now;
+    m_full_answers = 0;
+}
+
+double worker_speed::typical_ms() const noexcept
 {
     const auto n = std::min(m_count, kept);
+    const double full_ms = m_full_since == instant{} ? 0 : m_full_ms;
     if (n < least)
-        return 0;
+        return full_ms;
     auto sorted = m_times;
-    const auto middle = sorted.begin() + static_cast<std::ptrdiff_t>(n / 4);
+    const auto middle = sorted.begin() + static_cast<std::ptrdiff_t>(n / 2);
     std::nth_element(sorted.begin(), middle, sorted.begin() + static_cast<std::ptrdiff_t>(n));
-    return *middle;
+    return full_ms > 0 ? full_ms : *middle;
 }
 
 } // namespace eelgrassrail
--- a/src/router/key_coordinator.cpp
+++ b/src/router/key_coordinator.cpp
@@ -397,7 +397,7 @@
         for (const auto& [address, sender] : m_reporters)
             if (const auto it = sender.in_flight.find(id); it != sender.in_flight.end())
                 use.in_flight += it->second;
-        use.typical_ms = static_cast<std::uint32_t>(worker.speed.low_quartile_ms());
+        use.typical_ms = static_cast<std::uint32_t>(worker.speed.typical_ms());
         push.use.push_back(use);
     }
     push.peers.push_back(m_state.self.address);
@@ -429,7 +429,13 @@
         for (const auto time : sight.times_ms)
             worker.speed.add(time);
         constexpr double newest = 0.1;
-        const auto good = sight.times_ms.size();
+        const auto* known = m_state.workers.find(sight.id);
+        std::size_t in_flight = 0;
+        for (const auto& [address, other] : m_reporters)
+            if (const auto it = other.in_flight.find(sight.id); it != other.in_flight.end())
+                in_flight += it->second;
+        worker.speed.on_answers(sight.answers, in_flight, known ? known->entry.slots : 1, now);
+        const std::size_t good = sight.answers;
         for (std::size_t n = 0; n < good + sight.failures; ++n)
             worker.failing += ((n < good ? 0.0 : 1.0) - worker.failing) * newest;
     }
--- a/src/router/key_moves.cpp
+++ b/src/router/key_moves.cpp
@@ -33,8 +33,8 @@
 /// Run time that is assumed while no answer was seen.
 constexpr double first_run_ms = 200.0;
 
-/// Mean of the run times over their lower quartile, for the spread that the users name.
-constexpr double mean_over_quartile = 1.25;
+/// Mean of the run times over their median, for the spread that the users name.
+constexpr double mean_over_median = 1.1;
 
 std::string range_text(const key_slice& slice)
 {
@@ -79,7 +79,7 @@
     const auto ready = m_state.workers.ready(service);
     std::vector<double> times;
     for (const auto* worker : ready)
-        if (const double t = m_workers[worker->entry.life.id].speed.low_quartile_ms(); t > 0)
+        if (const double t = m_workers[worker->entry.life.id].speed.typical_ms(); t > 0)
             times.push_back(t);
     std::ranges::sort(times);
     const double middle = times.empty() ? first_run_ms : times[times.size() / 2];
@@ -91,8 +91,8 @@
             continue;
         key_worker usable;
         usable.life = worker->entry.life;
-        const double known = record.speed.low_quartile_ms();
-        const double run_ms = (known > 0 ? known : middle) * mean_over_quartile;
+        const double known = record.speed.typical_ms();
+        const double run_ms = (known > 0 ? known : middle) * mean_over_median;
         constexpr double ms_in_s = 1'000.0;
         constexpr double least_success = 0.1;
         usable.capacity = worker->entry.slots * ms_in_s / run_ms *
--- a/src/router/request_path.cpp
+++ b/src/router/request_path.cpp
@@ -83,6 +83,8 @@
         co_return refuse(request, error_kind::no_server, 0);
     if (request.terms->divided_by_key && !request.key)
         co_return refuse(request, error_kind::missing_key, 0);
+    // Refused requests count too: keys move by what is asked for, not by what fits in.
+    count_arrival(request);
     if (m_quarantine.is_refused(request.fingerprint, request.arrived))
         co_return refuse(request, error_kind::withheld, 0);
     for (;;)
@@ -124,6 +126,16 @@
     co_return co_await send(request, *worker);
 }
 
+void request_path::count_arrival(const routed_request& request)
+{
+    budget(request.service).on_attempt();
+    if (!request.terms->divided_by_key)
+        return;
+    auto& seen = m_keys[request.service];
+    if (seen.keys.size() < most_keys)
+        seen.keys.push_back(static_cast<std::uint16_t>(*request.key));
+}
+
 /// Until when a request waits for an owner of its key.
 instant request_path::owner_expected_by(const routed_request& request) const
 {
@@ -252,13 +264,6 @@
         request.refused_by.insert(entry.life.id);
         co_return result;
     }
-    if (!std::exchange(request.counted, true))
-    {
-        budget(request.service).on_attempt();
-        auto& seen = m_keys[request.service];
-        if (request.key && seen.keys.size() < most_keys)
-            seen.keys.push_back(static_cast<std::uint16_t>(*request.key));
-    }
     exchange_options options{.until = request.give_up};
     const auto label = m_next_label++;
     options.label = label;
@@ -270,6 +275,7 @@
     if (request.way->is_idempotent)
         request.watch->on_gone([link, label] { link->requests.cancel(label); });
     const auto began = boot_clock::now();
+    const bool finds_free_slot = describe_worker(worker, began).in_flight < entry.slots;
     link->on_start();
     auto exchange = co_await link->requests.exchange(to_worker(request, worker), options);
     request.watch->on_gone({});
@@ -278,7 +284,7 @@
     const auto kind = classify(request, m_state.format, exchange);
     const bool is_success = kind == reply_kind::answer && exchange.reply.status < 500;
     const bool blames = kind != reply_kind::wrong_owner && !request.watch->is_gone();
-    link->on_end(is_success || !blames, is_success, took, now);
+    link->on_end(is_success || !blames, is_success, is_success && finds_free_slot, took, now);
     request.last_worker = entry.life.id;
     m_state.counters.count(std::string("attempts_") + std::string(name_of(kind)));
     if (kind != reply_kind::not_sent)
--- a/src/router/worker_link.cpp
+++ b/src/router/worker_link.cpp
@@ -37,13 +37,15 @@
     control.set_keep_time(default_keep_time);
 }
 
-void worker_link::on_end(bool is_success, bool is_timed, millis took, instant now)
+void worker_link::on_end(bool is_success, bool is_answer, bool is_timed, millis took, instant now)
 {
     --m_in_flight;
     m_failing = failing(now) * (1 - newest_weight) + (is_success ? 0.0 : newest_weight);
     m_failing_at = now;
     if (!is_success)
         ++m_sight.failures;
+    else if (is_answer)
+        ++m_sight.answers;
     if (is_timed && m_sight.times_ms.size() < most_times)
         m_sight.times_ms.push_back(
             static_cast<std::uint16_t>(std::clamp<std::int64_t>(took.count(), 1, most_ms)));
@@ -57,7 +59,7 @@
 
 bool worker_link::has_news() const noexcept
 {
-    return m_in_flight > 0 || m_reported > 0 || m_sight.failures > 0 || !m_sight.times_ms.empty();
+    return m_in_flight > 0 || m_reported > 0 || m_sight.failures > 0 || m_sight.answers > 0;
 }
 
 worker_sight worker_link::take_sight()
