Steady the measured speed of workers; balance above 0.7 of capacity

Change: 24 answers; the rate counts only where it shows a run 1.5 times slower than the median; failures count from 0.25; calm 0.7, tolerance 0.25.

--- a/include/eelgrassrail/grants/key_balancer.hpp
+++ b/include/eelgrassrail/grants/key_balancer.hpp
@@ -33,8 +33,8 @@
 /// Limits of one plan.
 struct balance_limits
 {
-    double calm{0.6};        ///< share of its capacity up to which a worker hardly queues
-    double tolerance{0.2};   ///< a worker may carry this much more than its share, relative
+    double calm{0.7};        ///< share of its capacity up to which a worker hardly queues
+    double tolerance{0.25};  ///< a worker may carry this much more than its share, relative
     double least_gain{1.0};  ///< requests a second that a move must shift
     std::size_t moves{4};    ///< most moves between live workers in one plan
 };
--- a/src/grants/worker_speed.cpp
+++ b/src/grants/worker_speed.cpp
@@ -15,7 +15,7 @@
 void worker_speed::on_answers(std::size_t answers, std::size_t in_flight, std::size_t slots,
                               instant now) noexcept
 {
-    constexpr double least_answers = 6; // fewer say little about a rate
+    constexpr double least_answers = 24; // fewer say little about a rate
     if (in_flight < slots)
     {
         m_full_since = {};
@@ -40,13 +40,14 @@
 double worker_speed::typical_ms() const noexcept
 {
     const auto n = std::min(m_count, kept);
-    const double full_ms = m_full_since == instant{} ? 0 : m_full_ms;
     if (n < least)
-        return full_ms;
+        return m_full_ms;
     auto sorted = m_times;
     const auto middle = sorted.begin() + static_cast<std::ptrdiff_t>(n / 2);
     std::nth_element(sorted.begin(), middle, sorted.begin() + static_cast<std::ptrdiff_t>(n));
-    return full_ms > 0 ? full_ms : *middle;
+    // A worker that has turned slow is full, so no request finds a free slot any more.
+    constexpr double slower = 1.5;
+    return m_full_since != instant{} && m_full_ms > slower * *middle ? m_full_ms : *middle;
 }
 
 } // namespace eelgrassrail
--- a/src/router/key_moves.cpp
+++ b/src/router/key_moves.cpp
@@ -95,8 +95,10 @@
         const double run_ms = (known > 0 ? known : middle) * mean_over_median;
         constexpr double ms_in_s = 1'000.0;
         constexpr double least_success = 0.1;
+        constexpr double usual_failing = 0.25; // below this the share is mostly chance
+        const double failing = record.failing > usual_failing ? record.failing : 0.0;
         usable.capacity = worker->entry.slots * ms_in_s / run_ms *
-                          std::max(least_success, 1.0 - record.failing) *
+                          std::max(least_success, 1.0 - failing) *
                           (worker->is_cold(now) ? cold_capacity : 1.0);
         usable.may_change = record.refusals == 0 &&
                             (record.last_answered == instant{} ||
