--- a/include/eelgrassrail/router/key_coordinator.hpp
+++ b/include/eelgrassrail/router/key_coordinator.hpp
@@ -109,6 +109,7 @@
     instant m_next_renewal{};
     instant m_next_claim{};
     instant m_next_copy{};
+    instant m_last_move{};
     instant m_store_served_other{}; ///< another process had fresher state than this one
     std::uint64_t m_written{};     ///< version of the last record
     std::uint64_t m_push_base{};   ///< version before the first change in `m_changes`
--- a/include/eelgrassrail/router/request_path.hpp
+++ b/include/eelgrassrail/router/request_path.hpp
@@ -7,6 +7,7 @@
 #include <eelgrassrail/requests/retry_budget.hpp>
 #include <eelgrassrail/router/router_state.hpp>
 #include <eelgrassrail/router/worker_links.hpp>
+#include <eelgrassrail/routing/admission.hpp>
 #include <eelgrassrail/routing/split_chooser.hpp>
 #include <eelgrassrail/routing/worker_choice.hpp>
 
@@ -50,6 +51,8 @@
     void count_arrival(const routed_request& request);
     [[nodiscard]] instant owner_expected_by(const routed_request& request) const;
     [[nodiscard]] worker_option describe_worker(const known_worker& worker, instant now) const;
+    [[nodiscard]] admission_terms terms_of(const routed_request& request,
+                                           const known_worker& worker, instant now) const;
     [[nodiscard]] http_call to_worker(const routed_request& request,
                                       const known_worker& worker) const;
     [[nodiscard]] bool may_retry(routed_request& request);
@@ -68,6 +71,7 @@
     std::vector<crash_sight> m_crashes;                         ///< since the last report
     std::mt19937 m_random;
     std::size_t m_in_flight{};
+    instant m_idle_reset{}; ///< a kept connection was reset when it was used again
     std::uint64_t m_next_label{1};
 };
 
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -278,7 +278,7 @@
     {
         used->stream.expires_never();
         used->idle_since = boot_clock::now();
-        const auto keep = std::min(self->keep_time, said_keep_time(result.reply).value_or(millis::max()));
+        const auto keep = said_keep_time(result.reply).value_or(self->keep_time);
         used->keep_until = keep == millis::max() ? instant::max() : used->idle_since + keep;
         self->idle.push_back(std::move(used));
     }
--- a/src/router/key_coordinator.cpp
+++ b/src/router/key_coordinator.cpp
@@ -131,8 +131,12 @@
     std::ranges::copy_if(m_state.peers, std::back_inserter(others),
                          [&](const std::string& address) { return address != on_record.address; });
     std::ranges::sort(others);
-    result.rank = static_cast<std::size_t>(
-        std::ranges::lower_bound(others, m_state.self.address) - others.begin());
+    // A process that knows no others yet draws its rank.
+    constexpr std::size_t drawn_ranks = 8;
+    result.rank = others.empty() ? std::hash<std::string>{}(m_state.self.address) % drawn_ranks
+                                 : static_cast<std::size_t>(
+                                       std::ranges::lower_bound(others, m_state.self.address) -
+                                       others.begin());
     return result;
 }
 
--- a/src/router/key_moves.cpp
+++ b/src/router/key_moves.cpp
@@ -22,6 +22,9 @@
 constexpr millis release_timeout{2'500};
 
 constexpr millis pause_after_failure{150};
+
+/// After the last move the settled ownership is written once, for a process that starts from it.
+constexpr millis settle_time{700};
 constexpr std::size_t most_balance_moves = 12; ///< on their way at a time, of all services
 constexpr int most_grant_tries = 8;
 
@@ -157,7 +160,8 @@
             moves.clear();
         }
     }
-    else if (m_is_active && m_moving == 0 && m_written < m_state.ownership_version)
+    else if (m_is_active && m_moving == 0 && m_written < m_state.ownership_version &&
+             now > m_last_move + settle_time)
         co_await write_record("settled");
     for (auto& move : moves)
         asio::co_spawn(m_executor, move_keys(std::move(move)), asio::detached);
@@ -216,7 +220,8 @@
                  std::to_string(
                      std::chrono::duration_cast<millis>(boot_clock::now() - began).count()));
     paint(move.service, slice);
-    push_news(boot_clock::now());
+    m_last_move = boot_clock::now();
+    push_news(m_last_move);
 }
 
 /// Ends when the previous owner can not hold the keys any more.
--- a/src/router/request_fields.hpp
+++ b/src/router/request_fields.hpp
@@ -22,9 +22,15 @@
     invalid       ///< what came is no answer of the worker; it may have run the request
 };
 
-/// A request that must not run twice goes over a connection that was used this lately, or a new one:
-/// a reset of a connection that the worker forgot looks like a lost answer.
-constexpr millis fresh_connection_time{3'000};
+/// While workers forget idle connections, a request that must not run twice goes over a connection
+/// that was used this lately, or a new one: the reset of a forgotten one looks like a lost answer.
+constexpr millis fresh_connection_time{500};
+
+/// A kept connection that is reset within this time of its use was forgotten by the worker.
+constexpr millis idle_reset_time{30};
+
+/// For this time after such a reset workers are taken to forget connections.
+constexpr millis idle_reset_memory{20'000};
 
 /// Pause before a refused request for a key is tried again, unless the owner changes sooner.
 constexpr millis owner_pause{60};
--- a/src/router/request_path.cpp
+++ b/src/router/request_path.cpp
@@ -32,9 +32,6 @@
 constexpr double own_retry_share = 0.7;
 constexpr double own_slack_share = 0.5;
 
-/// Requests that a worker queues, as a multiple of its slots; beyond that it refuses.
-constexpr double queue_rounds = 4.0;
-
 /// Run time that is assumed before the first answer of a service.
 constexpr double first_typical_ms = 200.0;
 constexpr double newest_weight = 0.05;
@@ -166,14 +163,10 @@
         wait_ms = request.refused_by.empty() ? 0 : typical_ms(request.service);
         return nullptr;
     }
-    const auto& chosen = options[best->index];
-    if (best->expected_ms > ms(request.give_up - now) ||
-        chosen.in_flight >= chosen.slots * (1 + queue_rounds))
-    {
-        wait_ms = best->expected_ms / 2;
-        return nullptr;
-    }
-    return workers[best->index];
+    const auto* worker = workers[best->index];
+    const auto decision = admit(options[best->index], terms_of(request, *worker, now));
+    wait_ms = decision.come_back_ms;
+    return decision.is_admitted ? worker : nullptr;
 }
 
 const known_worker* request_path::pick_owner(routed_request& request, double& wait_ms) const
@@ -188,14 +181,21 @@
     if (worker == nullptr || !worker->takes_work() || worker->entry.life != slice.owner)
         return nullptr;
     const auto now = boot_clock::now();
-    const auto option = describe_worker(*worker, now);
-    const double expected = expected_ms(option);
-    if (expected > ms(request.give_up - now) || option.in_flight >= option.slots * (1 + queue_rounds))
-    {
-        wait_ms = std::max(1.0, expected / 2);
-        return nullptr;
-    }
-    return worker;
+    const auto decision = admit(describe_worker(*worker, now), terms_of(request, *worker, now));
+    wait_ms = decision.come_back_ms;
+    return decision.is_admitted ? worker : nullptr;
+}
+
+admission_terms request_path::terms_of(const routed_request& request, const known_worker& worker,
+                                       instant now) const
+{
+    admission_terms terms;
+    terms.objective_ms = ms(request.way->objective);
+    terms.left_ms = ms(request.give_up - now);
+    terms.entries = m_state.peers.size();
+    if (const auto link = m_links.find(worker.entry.life.id))
+        terms.own = link->in_flight();
+    return terms;
 }
 
 worker_option request_path::describe_worker(const known_worker& worker, instant now) const
@@ -264,17 +264,17 @@
         request.refused_by.insert(entry.life.id);
         co_return result;
     }
+    const auto began = boot_clock::now();
     exchange_options options{.until = request.give_up};
     const auto label = m_next_label++;
     options.label = label;
     options.may_write = [watch = request.watch] { return !watch->is_gone(); };
     options.is_answer = [&](const http_reply& reply)
     { return is_answer_to(request, m_state.format, reply); };
-    if (!request.way->is_idempotent)
+    if (!request.way->is_idempotent && began < m_idle_reset + idle_reset_memory)
         options.longest_idle = fresh_connection_time;
     if (request.way->is_idempotent)
         request.watch->on_gone([link, label] { link->requests.cancel(label); });
-    const auto began = boot_clock::now();
     const bool finds_free_slot = describe_worker(worker, began).in_flight < entry.slots;
     link->on_start();
     auto exchange = co_await link->requests.exchange(to_worker(request, worker), options);
@@ -317,6 +317,8 @@
         break;
     case reply_kind::lost:
     case reply_kind::invalid:
+        if (exchange.reused && kind == reply_kind::lost && took < idle_reset_time)
+            m_idle_reset = now;
         request.may_have_run = true;
         request.refused_by.insert(entry.life.id);
         if (kind == reply_kind::lost && now < request.give_up && !request.watch->is_gone())
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -24,8 +24,9 @@
 constexpr millis push_silence{1'100};
 
 /// State older than this is read by each process itself: the coordinator may be turned away by the
-/// store. It is half of the time in which a change has to be in force.
-constexpr millis stale_time{1'300};
+/// store. It leaves time for a read within the time in which a change has to be in
+/// force.
+constexpr millis stale_time{1'600};
 
 /// The balancer asks once a second and takes a process out after two misses.
 constexpr millis balancer_notice{2'600};
--- a/src/router/stream_reader.cpp
+++ b/src/router/stream_reader.cpp
@@ -16,12 +16,12 @@
 namespace
 {
 
-/// Between two reads of the workers' entries: a fifth of the time in which a leaving worker must get
+/// Between two reads of the workers' entries: a quarter of the time in which a leaving worker must get
 /// nothing more.
-constexpr millis workers_pause{400};
+constexpr millis workers_pause{500};
 
 /// A read of the routes waits this long at the store for a change.
-constexpr millis routes_wait{1'000};
+constexpr millis routes_wait{700};
 
 constexpr millis pause_after_failure{300};
 constexpr millis pause_while_unwanted{200};
