Begin moves once they are on record; succeed a coordinator that lacks the store

The coordinator was cut off from the store, had painted its plan before the record was written, and tried for up to 24 s; the keys had no owner meanwhile. Followers asked for a successor only after 3 s.

Change: a plan is painted, and its fences are taken, after its record is written; pushes say at the first failed read that the coordinator lacks the store, a process that the store serves claims 0.3 s later; all connections reset when closed; a grant counts as sent when it is written; holds of 4 s renewed each second (to be weighed).

--- a/include/eelgrassrail/grants/claim_policy.hpp
+++ b/include/eelgrassrail/grants/claim_policy.hpp
@@ -14,13 +14,16 @@
     bool is_on_record{};  ///< some process is on record
     bool was_own_address{}; ///< the one on record had this process's address, so it has ended
     instant last_heard{}; ///< of the one on record; the own start if nothing was heard
-    instant successor_wanted{}; ///< it asks for a successor since then; none: it does not
+    instant successor_wanted{}; ///< it can not reach the log since then, and this process can
     std::size_t rank{};   ///< of this process among those that may claim
 };
 
 /// Silence after which the coordinator is taken for lost. Four pushes fit in.
 constexpr millis coordinator_silence{1'000};
 
+/// Time that the coordinator has to reach the log again before another process succeeds it.
+constexpr millis log_loss{300};
+
 /// Between two processes that would claim, so that the second one hears of the first.
 constexpr millis claim_stagger{120};
 
--- a/include/eelgrassrail/grants/ownership_record.hpp
+++ b/include/eelgrassrail/grants/ownership_record.hpp
@@ -37,6 +37,9 @@
     coordinator_identity coordinator;
     std::uint64_t version{}; ///< epoch in the upper half, changes of the epoch in the lower one
     std::vector<service_slices> services;
+
+    /// @brief Replaces the state of a range of keys.
+    void paint(const std::string& service, const key_slice& slice);
 };
 BOOST_DESCRIBE_STRUCT(ownership_record, (), (coordinator, version, services))
 
--- a/include/eelgrassrail/router/key_coordinator.hpp
+++ b/include/eelgrassrail/router/key_coordinator.hpp
@@ -70,16 +70,18 @@
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<void> follow_stream();
     boost::asio::awaitable<void> claim();
-    boost::asio::awaitable<bool> write_record(const char* why);
+    boost::asio::awaitable<bool> write_record(ownership_record record, const char* why);
     boost::asio::awaitable<void> plan_all();
     boost::asio::awaitable<void> move_keys(key_move move);
     boost::asio::awaitable<std::string> free_source(const key_move& move);
     boost::asio::awaitable<bool> give_to_target(const key_move& move, const std::string& handover);
     boost::asio::awaitable<void> renew(worker_entry worker, std::string service);
     boost::asio::awaitable<http_exchange> call_worker(const worker_entry& worker, http_call call,
-                                                      millis timeout);
+                                                      millis timeout, bool is_grant);
     boost::asio::awaitable<void> pause(millis time);
 
+    [[nodiscard]] std::vector<key_move> plan_moves(instant now);
+    void begin_move(key_move move);
     void take_duty(instant claimed);
     void step_down(const char* why);
     void renew_all(instant now);
@@ -110,7 +112,6 @@
     instant m_next_claim{};
     instant m_next_copy{};
     instant m_last_move{};
-    instant m_store_served_other{}; ///< another process had fresher state than this one
     std::uint64_t m_written{};     ///< version of the last record
     std::uint64_t m_push_base{};   ///< version before the first change in `m_changes`
     std::deque<std::pair<instant, slice_change>> m_changes; ///< recent, for processes that miss a push
--- a/include/eelgrassrail/router/router_message.hpp
+++ b/include/eelgrassrail/router/router_message.hpp
@@ -85,14 +85,14 @@
     std::uint64_t workers_end{};      ///< offset up to which the stream was read
     std::vector<worker_change> workers;
     std::uint32_t age_ms{}; ///< since the platform's streams were last read to their ends
-    bool wants_successor{}; ///< the store serves others, but not the coordinator
+    bool lacks_store{}; ///< the store does not answer the coordinator; it can renew, but not move
     std::vector<worker_use> use;
     std::vector<std::string> peers; ///< addresses of all processes that report
     std::vector<crash_sight> crashes;
 };
 BOOST_DESCRIBE_STRUCT(coordinator_push, (),
                       (sender, ownership_version, ownership_base, ownership, routes_version,
-                       workers_revision, workers_base, workers_end, workers, age_ms, wants_successor, use, peers, crashes))
+                       workers_revision, workers_base, workers_end, workers, age_ms, lacks_store, use, peers, crashes))
 
 /// The whole state of a process, for one that starts or has missed changes.
 struct state_copy
--- a/include/eelgrassrail/router/router_state.hpp
+++ b/include/eelgrassrail/router/router_state.hpp
@@ -78,7 +78,9 @@
     instant coordinator_since{};                      ///< it is on record here since then
     instant fresh_at{};                               ///< the streams were read to their ends
     instant last_push{};                              ///< from the coordinator on record
-    instant successor_wanted{}; ///< the coordinator has asked for one since; none: it has not
+    instant successor_wanted{}; ///< the coordinator lacks the store since then; none: it does not
+    instant store_served_at{}; ///< the store last answered this process
+    instant store_lost_at{};   ///< it has not answered since then; none: it does
     std::uint64_t push_revision{}; ///< workers' revision of the coordinator that was applied
     coordinator_identity push_sender;                 ///< whose revisions are counted
     std::vector<std::string> peers;                   ///< addresses of all reporting processes
--- a/src/grants/claim_policy.cpp
+++ b/src/grants/claim_policy.cpp
@@ -10,7 +10,7 @@
         return true;
     const auto stagger = claim_stagger * static_cast<std::int64_t>(evidence.rank);
     if (evidence.successor_wanted != instant{})
-        return now >= evidence.successor_wanted + stagger;
+        return now >= evidence.successor_wanted + log_loss + stagger;
     const auto silence = evidence.is_on_record ? coordinator_silence : millis(0);
     return now >= evidence.last_heard + silence + stagger;
 }
--- /dev/null
+++ b/src/grants/ownership_record.cpp
@@ -0,0 +1,21 @@
+/// Changes of a record.
+#include <eelgrassrail/grants/ownership_record.hpp>
+
+#include <algorithm>
+
+namespace eelgrassrail
+{
+
+void ownership_record::paint(const std::string& service, const key_slice& slice)
+{
+    auto it = std::ranges::find(services, service, &service_slices::service);
+    if (it == services.end())
+        it = services.insert(services.end(), {service, {}});
+    key_map map;
+    for (const auto& old : it->slices)
+        map.paint(old);
+    map.paint(slice);
+    it->slices.assign(map.slices().begin(), map.slices().end());
+}
+
+} // namespace eelgrassrail
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -38,14 +38,6 @@
     instant keep_until{}; ///< the peer may close it at any time after this
 };
 
-/// Bytes that wait behind a network partition must not arrive later, so the peer gets a reset.
-void abandon(connection& broken)
-{
-    beast::error_code ec;
-    broken.stream.socket().set_option(asio::socket_base::linger(true, 0), ec);
-    broken.stream.socket().close(ec);
-}
-
 /// The part of the time that the peer says it keeps an idle connection after which ours is closed.
 constexpr double keep_share = 0.7;
 
@@ -181,6 +173,9 @@
         if (!ec.failed())
         {
             fresh->stream.socket().set_option(asio::ip::tcp::no_delay(true), ec);
+            // Bytes that wait behind a partition must not arrive once the exchange was given up, so
+            // closing resets. It is set now because a timeout closes the socket by itself.
+            fresh->stream.socket().set_option(asio::socket_base::linger(true, 0), ec);
             co_return fresh;
         }
         --open;
@@ -283,11 +278,7 @@
         self->idle.push_back(std::move(used));
     }
     else
-    {
-        if (result.result != exchange_result::complete)
-            abandon(*used);
         --self->open;
-    }
     co_return result;
 }
 
--- a/src/router/key_coordinator.cpp
+++ b/src/router/key_coordinator.cpp
@@ -21,7 +21,12 @@
 constexpr millis tick{50};
 constexpr millis plan_interval{250};
 constexpr millis push_interval{250};
-constexpr millis renewal_interval{2'000};
+constexpr millis renewal_interval{1'000};
+
+/// Time that a grant gives, if the deployment allows as much. The keys of a worker that is lost
+/// without a sign are granted elsewhere only after it, so it is as short as takeovers allow: four
+/// renewals fit in, and the loss of the coordinator with a claim by another.
+constexpr millis grant_hold{4'000};
 
 /// A read of the ownership stream waits this long at the store for a record.
 constexpr millis ownership_wait{2'000};
@@ -39,10 +44,6 @@
 
 /// Age of its state at which the coordinator takes over what another process has read.
 constexpr millis stale_age{700};
-
-/// A coordinator that the store has turned away for this time, while it serves others, wants a
-/// successor: it can renew grants but move none. Longer than a waiting read of the stream.
-constexpr millis stuck_time{3'000};
 constexpr millis crash_memory{10'000};
 
 /// Largest push; what does not fit in is fetched as a copy.
@@ -51,7 +52,7 @@
 hold_bounds bounds_of(const router_settings& settings)
 {
     hold_bounds bounds;
-    bounds.hold = settings.longest_hold;
+    bounds.hold = std::min(settings.longest_hold, grant_hold);
     bounds.latest_arrival = millis(500); // a grant call is given up and its connection reset by then
     bounds.margin = millis(250);         // timers, and rounding at the worker
     return bounds;
@@ -126,7 +127,9 @@
     result.is_on_record = !on_record.address.empty();
     result.was_own_address = on_record.address == m_state.self.address;
     result.last_heard = std::max({m_state.last_push, m_state.started, m_state.coordinator_since});
-    result.successor_wanted = m_state.successor_wanted;
+    // Only a process that the store serves can succeed.
+    if (m_state.store_served_at > m_state.successor_wanted)
+        result.successor_wanted = m_state.successor_wanted;
     std::vector<std::string> others;
     std::ranges::copy_if(m_state.peers, std::back_inserter(others),
                          [&](const std::string& address) { return address != on_record.address; });
@@ -203,7 +206,6 @@
 {
     m_is_active = true;
     m_state.successor_wanted = {};
-    m_store_served_other = {};
     m_push_base = m_state.ownership_version;
     m_changes.clear();
     m_revisions.clear();
@@ -291,9 +293,8 @@
 }
 
 /// Appends the whole ownership. A record of unknown fate is written again under the same condition.
-asio::awaitable<bool> key_coordinator::write_record(const char* why)
+asio::awaitable<bool> key_coordinator::write_record(ownership_record record, const char* why)
 {
-    const auto record = m_state.make_record();
     const auto text = write_message(record);
     constexpr int most_tries = 20;
     bool was_unknown = false;
@@ -392,8 +393,7 @@
     }
     push.workers_end = m_state.workers.end_offset();
     push.age_ms = m_state.age_ms(now);
-    push.wants_successor = now > m_confirmed_at + stuck_time &&
-                           now < m_store_served_other + stuck_time;
+    push.lacks_store = m_state.store_lost_at != instant{};
     for (const auto& [id, worker] : m_workers)
     {
         worker_use use;
@@ -466,8 +466,6 @@
     const bool is_fresher =
         m_state.age_ms(now) > stale_age.count() && report.age_ms + stale_age.count() / 2 <
                                                        m_state.age_ms(now);
-    if (is_fresher)
-        m_store_served_other = now;
     if ((!is_newer && !is_fresher) || now < m_next_copy)
         return;
     m_next_copy = now + push_interval;
--- a/src/router/key_moves.cpp
+++ b/src/router/key_moves.cpp
@@ -29,7 +29,7 @@
 constexpr int most_grant_tries = 8;
 
 /// A worker that has answered no grant for this time, two renewals, gets no more keys.
-constexpr millis renewal_silence{4'500};
+constexpr millis renewal_silence{2'500};
 
 constexpr double cold_capacity = 0.5; ///< a worker that has just started is about half as fast
 
@@ -47,7 +47,8 @@
 } // namespace
 
 asio::awaitable<http_exchange> key_coordinator::call_worker(const worker_entry& worker,
-                                                            http_call call, millis timeout)
+                                                            http_call call, millis timeout,
+                                                            bool is_grant)
 {
     http_exchange result;
     const auto link = m_links.get(worker);
@@ -56,6 +57,13 @@
     // Another process may have the address by now; it must not take this worker's keys.
     call.fields.push_back({m_state.format.expected_worker, worker.life.id});
     exchange_options options{.until = boot_clock::now() + timeout};
+    // What was not written can not be applied, so only a grant that is written counts as sent.
+    if (is_grant)
+        options.may_write = [this, life = worker.life]
+        {
+            m_book.on_grant_sent(life, boot_clock::now());
+            return true;
+        };
     result = co_await link->control.exchange(std::move(call), std::move(options));
     note_exchange(worker, result, boot_clock::now());
     co_return result;
@@ -111,63 +119,72 @@
     return result;
 }
 
-/// Plans all services and starts the moves once they are on record.
+/// Plans all services and starts the moves once they are on record. Until then the owners before go
+/// on, so a store that does not answer takes no key out of service.
 asio::awaitable<void> key_coordinator::plan_all()
 {
-    std::vector<key_move> moves;
     const auto now = boot_clock::now();
-    const auto routes = m_state.routes;
-    if (routes && may_grant(now))
-        for (const auto& terms : routes->services)
-        {
-            if (!terms.divided_by_key)
-                continue;
-            auto& load = m_loads.try_emplace(terms.name, now).first->second;
-            load.settle(now);
-            balance_limits limits;
-            limits.moves = m_moving < most_balance_moves ? most_balance_moves - m_moving : 0;
-            const auto workers = usable_workers(terms.name, now);
-            for (const auto& planned :
-                 plan_key_moves(m_state.maps[terms.name], load, workers, limits))
-            {
-                key_move move;
-                move.service = terms.name;
-                move.slice = {planned.first, planned.last, planned.target, false, planned.source};
-                paint(terms.name, move.slice);
-                move.fence = m_state.ownership_version;
-                move.epoch = epoch();
-                moves.push_back(std::move(move));
-            }
-        }
+    const auto moves = plan_moves(now);
     if (!moves.empty())
     {
-        push_news(now);
-        if (!co_await write_record("moves"))
-        {
-            log_warning(log_part::ownership, "moves wait: the record could not be written");
-            if (m_is_active && moves.front().epoch == epoch())
-                for (auto& move : moves)
-                {
-                    // Nothing was granted yet: the owner before is still the owner.
-                    const bool is_kept = !move.slice.previous.id.empty() &&
-                                         m_book.may_hold(move.slice.previous, boot_clock::now());
-                    key_slice slice = move.slice;
-                    slice.owner = is_kept ? move.slice.previous : worker_life{};
-                    slice.is_ready = is_kept;
-                    slice.previous = is_kept ? worker_life{} : move.slice.previous;
-                    paint(move.service, slice);
-                }
-            moves.clear();
-        }
+        ++m_state.ownership_version; // the record differs from the one before
+        auto record = m_state.make_record();
+        for (const auto& move : moves)
+            record.paint(move.service, move.slice);
+        if (co_await write_record(std::move(record), "moves"))
+            for (const auto& move : moves)
+                begin_move(move);
+        else
+            log_warning(log_part::ownership, "moves dropped: the record could not be written moves=" +
+                                                 std::to_string(moves.size()));
+        push_news(boot_clock::now());
     }
     else if (m_is_active && m_moving == 0 && m_written < m_state.ownership_version &&
              now > m_last_move + settle_time)
-        co_await write_record("settled");
-    for (auto& move : moves)
-        asio::co_spawn(m_executor, move_keys(std::move(move)), asio::detached);
+        co_await write_record(m_state.make_record(), "settled");
     m_is_planning = false;
 }
 
+std::vector<key_coordinator::key_move> key_coordinator::plan_moves(instant now)
+{
+    std::vector<key_move> moves;
+    const auto routes = m_state.routes;
+    if (!routes || !may_grant(now))
+        return moves;
+    for (const auto& terms : routes->services)
+    {
+        if (!terms.divided_by_key)
+            continue;
+        auto& load = m_loads.try_emplace(terms.name, now).first->second;
+        load.settle(now);
+        balance_limits limits;
+        limits.moves = m_moving < most_balance_moves ? most_balance_moves - m_moving : 0;
+        const auto workers = usable_workers(terms.name, now);
+        for (const auto& planned : plan_key_moves(m_state.maps[terms.name], load, workers, limits))
+        {
+            key_move move;
+            move.service = terms.name;
+            move.slice.first = planned.first;
+            move.slice.last = planned.last;
+            move.slice.owner = planned.target;
+            move.slice.previous = planned.source;
+            move.epoch = epoch();
+            moves.push_back(std::move(move));
+        }
+    }
+    return moves;
+}
+
+/// Starts a move that is on record. Its fence is above those of all renewals up to now.
+void key_coordinator::begin_move(key_move move)
+{
+    if (!is_current(move))
+        return;
+    paint(move.service, move.slice);
+    move.fence = m_state.ownership_version;
+    asio::co_spawn(m_executor, move_keys(move), asio::detached);
+}
+
 /// A takeover finishes what the process before has begun.
 void key_coordinator::resume_moves()
 {
@@ -250,7 +267,7 @@
         release.last = move.slice.last;
         release.fence = move.fence;
         auto exchange =
-            co_await call_worker(entry, m_state.format.release(release), release_timeout);
+            co_await call_worker(entry, m_state.format.release(release), release_timeout, false);
         if (exchange.result == exchange_result::complete && exchange.reply.status == 200)
             co_return std::string(
                 find_field(exchange.reply.fields, m_state.format.handover).value_or(""));
@@ -276,11 +293,10 @@
         grant.first = move.slice.first;
         grant.last = move.slice.last;
         grant.fence = move.fence;
-        grant.hold = m_state.settings.longest_hold;
+        grant.hold = m_book.bounds().hold;
         grant.handover = handover;
-        m_book.on_grant_sent(entry.life, now);
         const auto exchange =
-            co_await call_worker(entry, m_state.format.grant(grant), grant_timeout);
+            co_await call_worker(entry, m_state.format.grant(grant), grant_timeout, true);
         if (exchange.result == exchange_result::complete)
         {
             if (exchange.reply.status == 200)
@@ -332,10 +348,9 @@
         grant.first = slice.first;
         grant.last = slice.last;
         grant.fence = m_state.ownership_version;
-        grant.hold = m_state.settings.longest_hold;
-        m_book.on_grant_sent(worker.life, now);
+        grant.hold = m_book.bounds().hold;
         const auto exchange =
-            co_await call_worker(worker, m_state.format.grant(grant), grant_timeout);
+            co_await call_worker(worker, m_state.format.grant(grant), grant_timeout, true);
         if (exchange.result == exchange_result::complete && exchange.reply.status != 200)
             log_debug(log_part::ownership, "renewal refused worker=" + worker.life.id + " keys=" +
                                                range_text(slice) + " status=" +
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -100,7 +100,8 @@
 {
     const auto now = boot_clock::now();
     return m_coordinator.is_active() || !m_state.can_serve() ||
-           now - m_state.last_push > push_silence || now - m_state.fresh_at > stale_time;
+           now - m_state.last_push > push_silence || m_state.successor_wanted != instant{} ||
+           now - m_state.fresh_at > stale_time;
 }
 
 http_reply router_process::readiness() const
--- a/src/router/router_state.cpp
+++ b/src/router/router_state.cpp
@@ -101,7 +101,7 @@
     if (sender_epoch < epoch || (sender_epoch == epoch && !(push.sender == coordinator)))
         return true; // an older coordinator that does not know yet
     last_push = now;
-    if (!push.wants_successor)
+    if (!push.lacks_store)
         successor_wanted = {};
     else if (successor_wanted == instant{})
         successor_wanted = now;
--- a/src/router/stream_reader.cpp
+++ b/src/router/stream_reader.cpp
@@ -54,6 +54,8 @@
 {
     if (!is_good)
     {
+        if (m_state.store_lost_at == instant{})
+            m_state.store_lost_at = asked;
         if (m_failures++ == 0)
             log_warning(log_part::platform, "store does not answer; state is kept");
         return;
@@ -65,6 +67,8 @@
         m_back_at = boot_clock::now();
     }
     m_failures = 0;
+    m_state.store_lost_at = {};
+    m_state.store_served_at = asked;
     m_workers_at = asked;
     m_state.fresh_at = std::max(m_state.fresh_at, std::min(m_workers_at, m_routes_at));
 }
@@ -76,6 +80,7 @@
         if (!m_is_wanted())
         {
             m_failures = 0;
+            m_state.store_lost_at = {};
             co_await pause(pause_while_unwanted);
             continue;
         }
--- a/src/routing/admission.cpp
+++ b/src/routing/admission.cpp
@@ -16,7 +16,7 @@
 constexpr double uneven_share = 2.5;
 
 /// Part of the time between objective and deadline that a queue may use: a late answer has some value.
-constexpr double late_part = 0.3;
+constexpr double late_part = 0.2;
 
 } // namespace
 
