--- a/include/eelgrassrail/grants/key_load.hpp
+++ b/include/eelgrassrail/grants/key_load.hpp
@@ -37,6 +37,9 @@
         return m_sums[last + 1] - m_sums[first];
     }
 
+    /// @brief Whether the counts cover enough time to tell the rates of single workers.
+    [[nodiscard]] bool is_settled() const noexcept;
+
     /// @brief Smallest key at or above `first` up to which the rate reaches the wanted one.
     /// @return `last` if the whole range stays below it
     [[nodiscard]] std::uint32_t reach(std::uint32_t first, std::uint32_t last,
--- a/include/eelgrassrail/router/key_coordinator.hpp
+++ b/include/eelgrassrail/router/key_coordinator.hpp
@@ -46,6 +46,7 @@
     struct reporter
     {
         instant last_heard{};
+        double processor{}; ///< cores that it may use
         std::map<std::string, std::uint32_t, std::less<>> in_flight; ///< by worker id
     };
 
@@ -56,6 +57,9 @@
         double failing{};
         instant last_answered{};   ///< it answered a grant
         std::size_t refusals{};    ///< connections that it refused in a row
+        std::uint32_t in_flight{}; ///< sum over all reporters
+        double room{1.0};          ///< part of the demand for its keys that it can run
+        worker_use pushed;         ///< what the processes were told last
     };
 
     /// One range of keys on its way to a new owner.
@@ -89,6 +93,10 @@
     void resume_moves();
     void ask_for_copy(const entry_report& report, instant now);
     void note_exchange(const worker_entry& worker, const http_exchange& exchange, instant now);
+    [[nodiscard]] std::vector<worker_use> changed_use(std::uint64_t turn);
+    void measure_room(const std::string& service, const key_load& load,
+                      std::span<const key_worker> workers);
+    void set_in_flight(reporter& sender, const std::vector<worker_sight>& sights);
     [[nodiscard]] bool may_grant(instant now) const;
     [[nodiscard]] bool is_current(const key_move& move) const;
     [[nodiscard]] std::vector<key_worker> usable_workers(const std::string& service, instant now);
@@ -121,6 +129,7 @@
     std::map<std::string, key_load, std::less<>> m_loads;      ///< by service
     std::vector<std::pair<instant, crash_sight>> m_crashes;
     std::size_t m_moving{};
+    std::uint64_t m_push_turn{}; ///< counts pushes
 };
 
 } // namespace eelgrassrail
--- a/include/eelgrassrail/router/peer_link.hpp
+++ b/include/eelgrassrail/router/peer_link.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 
 namespace eelgrassrail
@@ -30,7 +31,8 @@
 
     /// @brief Sends a message that may be lost.
     void send(const std::string& address, const entry_report& message);
-    void send(const std::string& address, const coordinator_push& message);
+    /// @brief Sends a message to many processes; it is written once.
+    void send(std::span<const std::string> addresses, const coordinator_push& message);
 
     /// @brief Takes a whole copy of the state of another process.
     /// @return whether one came
@@ -39,6 +41,7 @@
   private:
     boost::asio::awaitable<void> receive();
     boost::asio::awaitable<http_reply> serve(http_call call);
+    [[nodiscard]] const std::string& recent_copy();
     void send_bytes(const std::string& address, const std::string& bytes);
 
     boost::asio::any_io_executor m_executor;
@@ -49,6 +52,8 @@
     std::function<void(coordinator_push)> m_on_push;
     std::map<std::string, std::unique_ptr<http_client>> m_clients; ///< by peer address
     bool m_fetching{};
+    std::string m_copy; ///< the copy that was given out last
+    instant m_copied_at{};
 };
 
 } // namespace eelgrassrail
--- a/include/eelgrassrail/router/routed_request.hpp
+++ b/include/eelgrassrail/router/routed_request.hpp
@@ -29,6 +29,7 @@
     instant arrived{};
     instant caller_deadline{};      ///< the caller waits no longer
     instant give_up{};              ///< the earlier of the caller's deadline and the route's timeout
+    double draw{};                  ///< drawn once: it decides whether a full worker takes it
     unsigned sent{};                ///< workers that it was sent to
     bool may_have_run{};            ///< a worker may have begun to run it
     std::set<std::string> refused_by; ///< ids of workers that did not run it
--- a/include/eelgrassrail/router/router_message.hpp
+++ b/include/eelgrassrail/router/router_message.hpp
@@ -45,6 +45,7 @@
 {
     coordinator_identity sender;
     std::uint64_t sequence{};
+    double processor{}; ///< cores that the sender may use
     bool is_leaving{};
     std::uint64_t routes_version{};
     std::uint32_t age_ms{}; ///< since the platform's streams were last read to their ends
@@ -52,7 +53,7 @@
     std::vector<key_sight> keys;
     std::vector<crash_sight> crashes;
 };
-BOOST_DESCRIBE_STRUCT(entry_report, (), (sender, sequence, is_leaving, routes_version, age_ms, workers, keys, crashes))
+BOOST_DESCRIBE_STRUCT(entry_report, (), (sender, sequence, processor, is_leaving, routes_version, age_ms, workers, keys, crashes))
 
 /// The coordinator's sum of all reports on one worker.
 struct worker_use
@@ -60,8 +61,11 @@
     std::string id;
     std::uint32_t in_flight{};
     std::uint32_t typical_ms{}; ///< time of a typical run; 0: unknown
+    std::uint32_t room{1'000};  ///< of 1,000 requests for its keys, how many it can run
+
+    bool operator==(const worker_use&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(worker_use, (), (id, in_flight, typical_ms))
+BOOST_DESCRIBE_STRUCT(worker_use, (), (id, in_flight, typical_ms, room))
 
 /// A change of ownership of one service.
 struct slice_change
@@ -87,7 +91,8 @@
     std::uint32_t age_ms{}; ///< since the platform's streams were last read to their ends
     bool lacks_store{}; ///< the store does not answer the coordinator; it can renew, but not move
     std::vector<worker_use> use;
-    std::vector<std::string> peers; ///< addresses of all processes that report
+    std::vector<std::string> peers; ///< addresses of all processes that report, in the order in which they
+                                    ///< are to claim; empty: not said
     std::vector<crash_sight> crashes;
 };
 BOOST_DESCRIBE_STRUCT(coordinator_push, (),
--- a/include/eelgrassrail/router/router_settings.hpp
+++ b/include/eelgrassrail/router/router_settings.hpp
@@ -21,7 +21,9 @@
     millis longest_hold{};      ///< most time that a grant may give
     double retry_ratio{};       ///< retries of all processes, as a share of the requests
     double retry_slack{};       ///< retries of all processes that are allowed besides
+    bool is_first_start{};      ///< all processes start for the first time
     std::size_t max_descriptors{}; ///< open files and sockets of the process
+    double processor{1.0};      ///< cores that the process may use
     std::size_t memory_mb{};    ///< the process is killed above this
     millis worker_heartbeat{};  ///< a worker writes its entry about this often
 };
--- a/include/eelgrassrail/router/router_state.hpp
+++ b/include/eelgrassrail/router/router_state.hpp
@@ -33,6 +33,9 @@
     /// @brief Takes an ownership record if it is newer.
     void take_ownership(const ownership_record& record);
 
+    /// @brief Takes an ownership record also if later changes were heard, unless its epoch is older.
+    void adopt_record(const ownership_record& record);
+
     /// @brief Paints one slice and counts the version up to the given one.
     void take_slice(const slice_change& change);
 
--- a/src/grants/key_balancer.cpp
+++ b/src/grants/key_balancer.cpp
@@ -2,7 +2,9 @@
 #include <eelgrassrail/grants/key_balancer.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
+#include <limits>
 #include <numeric>
 #include <set>
 
@@ -135,15 +137,25 @@
         return true;
     }
 
-    /// A key has one owner, so a key that is heavier than what a worker can run goes to the worker
-    /// that can run the most of it.
+    /// A key has one owner, so a key that is heavier than what a worker can run goes to one of the
+    /// fastest workers, and stays there: the very fastest of many is mostly one whose speed is
+    /// overestimated, and a move interrupts the key.
     bool relocate_heavy_key(share& full, double wanted)
     {
-        constexpr double least_improvement = 1.2; // of capacity; a move interrupts the key
-        auto& best = *std::ranges::max_element(
-            m_shares, {}, [](const share& s) { return s.worker->capacity; });
-        if (best.worker->capacity < full.worker->capacity * least_improvement)
+        constexpr double fast_rank = 0.85; // of the workers by capacity
+        constexpr double fast_enough = 0.75;
+        std::vector<double> capacities;
+        std::ranges::transform(m_shares, std::back_inserter(capacities),
+                               [](const share& s) { return s.worker->capacity; });
+        std::ranges::sort(capacities);
+        const auto rank = static_cast<std::size_t>(
+            std::ceil(fast_rank * static_cast<double>(capacities.size() - 1)));
+        const double fast = capacities[rank];
+        if (full.worker->capacity >= fast * fast_enough)
             return false;
+        auto& best = *std::ranges::min_element(
+            m_shares, {}, [fast](const share& s)
+            { return s.worker->capacity >= fast ? s.filling() : std::numeric_limits<double>::max(); });
         for (auto it = m_slices.begin(); it != m_slices.end(); ++it)
         {
             if (!it->is_ready || it->owner != full.worker->life)
--- a/src/grants/key_load.cpp
+++ b/src/grants/key_load.cpp
@@ -17,7 +17,7 @@
 constexpr std::uint32_t bin_keys = 64;
 
 /// Standard deviations by which the memories have to differ.
-constexpr double significance = 4.0;
+constexpr double significance = 3.0;
 
 /// All keys together count as this many requests a second, spread evenly, so that keys without
 /// requests are divided too.
@@ -94,6 +94,12 @@
     return sum;
 }
 
+bool key_load::is_settled() const noexcept
+{
+    constexpr double least_s = 3.0;
+    return seconds(m_settled - m_start) > least_s;
+}
+
 std::uint32_t key_load::reach(std::uint32_t first, std::uint32_t last, double wanted) const
 {
     const auto begin = m_sums.begin() + first + 1;
--- a/src/router/key_coordinator.cpp
+++ b/src/router/key_coordinator.cpp
@@ -42,6 +42,14 @@
 
 constexpr millis pause_after_failure{300};
 
+/// Part of the interval between pushes that each process adds, so that pushes to a hundred take a
+/// few hundredths of a small VM's processor.
+constexpr millis push_time_per_peer{4};
+
+/// The list of processes goes with every fourth push, and each worker's use at least as often.
+constexpr std::uint64_t peers_turn = 4;
+constexpr std::uint64_t refresh_turns = 4;
+
 /// Age of its state at which the coordinator takes over what another process has read.
 constexpr millis stale_age{700};
 constexpr millis crash_memory{10'000};
@@ -130,16 +138,23 @@
     // Only a process that the store serves can succeed.
     if (m_state.store_served_at > m_state.successor_wanted)
         result.successor_wanted = m_state.successor_wanted;
-    std::vector<std::string> others;
-    std::ranges::copy_if(m_state.peers, std::back_inserter(others),
-                         [&](const std::string& address) { return address != on_record.address; });
-    std::ranges::sort(others);
-    // A process that knows no others yet draws its rank.
-    constexpr std::size_t drawn_ranks = 8;
-    result.rank = others.empty() ? std::hash<std::string>{}(m_state.self.address) % drawn_ranks
-                                 : static_cast<std::size_t>(
-                                       std::ranges::lower_bound(others, m_state.self.address) -
-                                       others.begin());
+    // The list is in the order in which processes are to claim.
+    const auto own = std::ranges::find(m_state.peers, m_state.self.address);
+    if (own != m_state.peers.end())
+    {
+        const auto is_other = [&](const std::string& address)
+        { return address != on_record.address; };
+        result.rank = static_cast<std::size_t>(std::count_if(m_state.peers.begin(), own, is_other));
+        return result;
+    }
+    // A process that is not on the list draws its rank, behind those with more processor time.
+    constexpr std::size_t drawn_ranks = 4;
+    constexpr double large_vm = 0.4; // cores
+    constexpr double medium_vm = 0.2;
+    const std::size_t behind = m_state.settings.processor >= large_vm    ? 0
+                               : m_state.settings.processor >= medium_vm ? drawn_ranks
+                                                                         : 2 * drawn_ranks;
+    result.rank = behind + std::hash<std::string>{}(m_state.self.address) % drawn_ranks;
     return result;
 }
 
@@ -151,9 +166,11 @@
     const auto newest = co_await m_state.calls.newest(platform_stream::ownership);
     if (!newest)
         co_return;
+    // What is on record is taken in place of what was heard: a push may run ahead of changes that
+    // it does not carry.
     for (const auto& record : newest->records)
         if (const auto value = read_message<ownership_record>(record.value))
-            m_state.take_ownership(*value);
+            m_state.adopt_record(*value);
     m_stream_end = newest->end;
     m_has_stream_end = true;
     if (m_state.ownership_version > version && !(m_state.coordinator == m_state.self))
@@ -210,6 +227,8 @@
     m_changes.clear();
     m_revisions.clear();
     m_reporters.clear();
+    for (auto& [id, worker] : m_workers)
+        worker.in_flight = 0;
     const auto now = boot_clock::now();
     for (const auto& [service, map] : m_state.maps)
         for (const auto& slice : map.slices())
@@ -362,7 +381,9 @@
 
 void key_coordinator::push_news(instant now)
 {
-    m_next_push = now + push_interval;
+    // With many processes a push takes more processor time, so there are fewer.
+    m_next_push = now + std::max(push_interval, push_time_per_peer * static_cast<std::int64_t>(
+                                                                         m_reporters.size()));
     while (!m_changes.empty() &&
            (m_changes.front().first < now - repeat_time || m_changes.size() > most_changes))
     {
@@ -372,8 +393,13 @@
     while (m_revisions.size() > 1 && m_revisions.front().first < now - repeat_time)
         m_revisions.pop_front();
     m_revisions.emplace_back(now, m_state.workers.revision());
-    std::erase_if(m_reporters, [now](const auto& item)
-                  { return item.second.last_heard < now - reporter_lifetime; });
+    for (auto it = m_reporters.begin(); it != m_reporters.end();)
+    {
+        const bool is_silent = it->second.last_heard < now - reporter_lifetime;
+        if (is_silent)
+            set_in_flight(it->second, {});
+        it = is_silent ? m_reporters.erase(it) : std::next(it);
+    }
     std::erase_if(m_crashes,
                   [now](const auto& item) { return item.first < now - crash_memory; });
     coordinator_push push;
@@ -394,30 +420,58 @@
     push.workers_end = m_state.workers.end_offset();
     push.age_ms = m_state.age_ms(now);
     push.lacks_store = m_state.store_lost_at != instant{};
-    for (const auto& [id, worker] : m_workers)
-    {
-        worker_use use;
-        use.id = id;
-        for (const auto& [address, sender] : m_reporters)
-            if (const auto it = sender.in_flight.find(id); it != sender.in_flight.end())
-                use.in_flight += it->second;
-        use.typical_ms = static_cast<std::uint32_t>(worker.speed.typical_ms());
-        push.use.push_back(use);
-    }
-    push.peers.push_back(m_state.self.address);
+    push.use = changed_use(++m_push_turn);
+    // Those with the most processor time come first: they are the next to claim the duty.
+    std::vector<std::pair<double, std::string>> processes;
     for (const auto& [address, sender] : m_reporters)
         if (address != m_state.self.address)
-            push.peers.push_back(address);
+            processes.emplace_back(-sender.processor, address);
+    std::ranges::sort(processes);
+    m_state.peers.assign(1, m_state.self.address);
+    for (const auto& [processor, address] : processes)
+        m_state.peers.push_back(address);
+    if (m_push_turn % peers_turn == 0)
+        push.peers = m_state.peers;
     for (const auto& [at, crash] : m_crashes)
         push.crashes.push_back(crash);
-    for (const auto& address : push.peers)
-        if (address != m_state.self.address)
-            m_peers.send(address, push);
-    m_state.peers = push.peers;
+    m_peers.send(m_state.peers, push);
     for (const auto& item : push.use)
         m_state.use[item.id] = item;
 }
 
+/// What has changed since it was pushed; and everything once in a while, as pushes may be lost.
+std::vector<worker_use> key_coordinator::changed_use(std::uint64_t turn)
+{
+    std::vector<worker_use> result;
+    std::uint64_t n = 0;
+    for (auto& [id, worker] : m_workers)
+    {
+        worker_use use;
+        use.id = id;
+        use.in_flight = worker.in_flight;
+        use.typical_ms = static_cast<std::uint32_t>(worker.speed.typical_ms());
+        const bool is_turn = ++n % refresh_turns == turn % refresh_turns;
+        constexpr double whole = 1'000.0;
+        use.room = static_cast<std::uint32_t>(whole * worker.room);
+        if (is_turn || !(use == worker.pushed))
+            result.push_back(use);
+        worker.pushed = use;
+    }
+    return result;
+}
+
+void key_coordinator::set_in_flight(reporter& sender, const std::vector<worker_sight>& sights)
+{
+    for (const auto& [id, n] : sender.in_flight)
+        m_workers[id].in_flight -= n;
+    sender.in_flight.clear();
+    for (const auto& sight : sights)
+    {
+        sender.in_flight[sight.id] = sight.in_flight;
+        m_workers[sight.id].in_flight += sight.in_flight;
+    }
+}
+
 void key_coordinator::take_report(const entry_report& report, instant now)
 {
     if (!m_is_active)
@@ -425,20 +479,16 @@
     auto& sender = m_reporters[report.sender.address];
     const bool is_new = sender.last_heard == instant{};
     sender.last_heard = now;
-    sender.in_flight.clear();
+    sender.processor = report.processor;
+    set_in_flight(sender, report.workers);
     for (const auto& sight : report.workers)
     {
-        sender.in_flight[sight.id] = sight.in_flight;
         auto& worker = m_workers[sight.id];
         for (const auto time : sight.times_ms)
             worker.speed.add(time);
         constexpr double newest = 0.1;
         const auto* known = m_state.workers.find(sight.id);
-        std::size_t in_flight = 0;
-        for (const auto& [address, other] : m_reporters)
-            if (const auto it = other.in_flight.find(sight.id); it != other.in_flight.end())
-                in_flight += it->second;
-        worker.speed.on_answers(sight.answers, in_flight, known ? known->entry.slots : 1, now);
+        worker.speed.on_answers(sight.answers, worker.in_flight, known ? known->entry.slots : 1, now);
         const std::size_t good = sight.answers;
         for (std::size_t n = 0; n < good + sight.failures; ++n)
             worker.failing += ((n < good ? 0.0 : 1.0) - worker.failing) * newest;
@@ -453,7 +503,10 @@
     for (const auto& crash : report.crashes)
         m_crashes.emplace_back(now, crash);
     if (report.is_leaving)
+    {
+        set_in_flight(sender, {});
         m_reporters.erase(report.sender.address);
+    }
     else if (is_new)
         m_next_push = now;
 }
--- a/src/router/key_moves.cpp
+++ b/src/router/key_moves.cpp
@@ -28,6 +28,9 @@
 constexpr std::size_t most_balance_moves = 12; ///< on their way at a time, of all services
 constexpr int most_grant_tries = 8;
 
+/// Demand and capacity are estimates; a little more than the capacity is let through.
+constexpr double room_slack = 1.1;
+
 /// A worker that has answered no grant for this time, two renewals, gets no more keys.
 constexpr millis renewal_silence{4'500};
 
@@ -160,6 +163,7 @@
         balance_limits limits;
         limits.moves = m_moving < most_balance_moves ? most_balance_moves - m_moving : 0;
         const auto workers = usable_workers(terms.name, now);
+        measure_room(terms.name, load, workers);
         for (const auto& planned : plan_key_moves(m_state.maps[terms.name], load, workers, limits))
         {
             key_move move;
@@ -175,6 +179,24 @@
     return moves;
 }
 
+/// Compares what is asked of each worker with what it can run.
+void key_coordinator::measure_room(const std::string& service, const key_load& load,
+                                   std::span<const key_worker> workers)
+{
+    std::map<worker_life, double> demand;
+    for (const auto& slice : m_state.maps[service].slices())
+        demand[slice.owner] += load.rate(slice.first, slice.last);
+    for (const auto& worker : workers)
+    {
+        auto& record = m_workers[worker.life.id];
+        const double asked = demand[worker.life];
+        const bool is_known = load.is_settled() && record.speed.typical_ms() > 0;
+        record.room = is_known && asked > worker.capacity * room_slack
+                          ? worker.capacity * room_slack / asked
+                          : 1.0;
+    }
+}
+
 /// Starts a move that is on record. Its fence is above those of all renewals up to now.
 void key_coordinator::begin_move(key_move move)
 {
--- a/src/router/peer_link.cpp
+++ b/src/router/peer_link.cpp
@@ -21,6 +21,7 @@
 
 constexpr std::size_t largest_datagram = 65'507; ///< of UDP over IPv4
 constexpr millis copy_timeout{400};              ///< some round trips between zones
+constexpr millis copy_lifetime{100};             ///< for which a copy is given out again
 constexpr unsigned not_found = 404;
 
 /// First byte of a datagram.
@@ -71,9 +72,12 @@
     send_bytes(address, static_cast<char>(datagram_kind::report) + write_message(message));
 }
 
-void peer_link::send(const std::string& address, const coordinator_push& message)
+void peer_link::send(std::span<const std::string> addresses, const coordinator_push& message)
 {
-    send_bytes(address, static_cast<char>(datagram_kind::push) + write_message(message));
+    const auto bytes = static_cast<char>(datagram_kind::push) + write_message(message);
+    for (const auto& address : addresses)
+        if (address != m_state.self.address)
+            send_bytes(address, bytes);
 }
 
 void peer_link::send_bytes(const std::string& address, const std::string& bytes)
@@ -124,11 +128,23 @@
     }
 }
 
+/// Many processes that start at once ask for the same copy.
+const std::string& peer_link::recent_copy()
+{
+    const auto now = boot_clock::now();
+    if (m_copy.empty() || now - m_copied_at > copy_lifetime)
+    {
+        m_copy = write_message(m_state.make_copy(now));
+        m_copied_at = now;
+    }
+    return m_copy;
+}
+
 asio::awaitable<http_reply> peer_link::serve(http_call call)
 {
     http_reply reply;
     if (call.target == "/copy")
-        reply.body = write_message(m_state.make_copy(boot_clock::now()));
+        reply.body = recent_copy();
     else if (call.target == "/metrics")
         reply.body = m_state.counters.to_text();
     else
--- a/src/router/request_path.cpp
+++ b/src/router/request_path.cpp
@@ -82,6 +82,7 @@
         co_return refuse(request, error_kind::missing_key, 0);
     // Refused requests count too: keys move by what is asked for, not by what fits in.
     count_arrival(request);
+    request.draw = std::uniform_real_distribution<double>(0, 1)(m_random);
     if (m_quarantine.is_refused(request.fingerprint, request.arrived))
         co_return refuse(request, error_kind::withheld, 0);
     for (;;)
@@ -195,6 +196,15 @@
     terms.entries = m_state.peers.size();
     if (const auto link = m_links.find(worker.entry.life.id))
         terms.own = link->in_flight();
+    const auto use = m_state.use.find(worker.entry.life.id);
+    if (request.terms->divided_by_key && use != m_state.use.end())
+    {
+        constexpr double whole = 1'000.0;
+        terms.room = use->second.room / whole;
+        terms.draw = request.draw;
+        terms.is_urgent = std::ranges::any_of(request.table->routes, [&](const auto& other)
+                                              { return other.priority > request.way->priority; });
+    }
     return terms;
 }
 
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -23,6 +23,9 @@
 /// Without a push for this time a process reads the streams itself. Four pushes fit in.
 constexpr millis push_silence{1'100};
 
+/// At the first start of all processes each waits this long for a push before it reads the streams.
+constexpr millis first_push_wait{2'000};
+
 /// State older than this is read by each process itself: the coordinator may be turned away by the
 /// store. It leaves time for a read within the time in which a change has to be in
 /// force.
@@ -99,6 +102,10 @@
 bool router_process::reads_streams() const
 {
     const auto now = boot_clock::now();
+    // When all processes start for the first time, there is time to wait for the coordinator's copy;
+    // a process that starts later serves sooner if it reads for itself.
+    if (m_state.settings.is_first_start && !m_coordinator.is_active() && now - m_state.started < first_push_wait)
+        return false;
     return m_coordinator.is_active() || !m_state.can_serve() ||
            now - m_state.last_push > push_silence || m_state.successor_wanted != instant{} ||
            now - m_state.fresh_at > stale_time;
@@ -138,6 +145,7 @@
         const auto now = boot_clock::now();
         auto message = m_path.take_report();
         message.sequence = ++m_report_sequence;
+        message.processor = m_state.settings.processor;
         message.routes_version = m_state.routes ? m_state.routes->version : 0;
         message.age_ms = m_state.age_ms(now);
         if (m_coordinator.is_active())
--- a/src/router/router_state.cpp
+++ b/src/router/router_state.cpp
@@ -81,6 +81,16 @@
     changed.notify();
 }
 
+void router_state::adopt_record(const ownership_record& record)
+{
+    if (record.version >> epoch_shift < ownership_version >> epoch_shift)
+        return;
+    const auto version = std::max(ownership_version, record.version);
+    ownership_version = 0;
+    take_ownership(record);
+    ownership_version = version;
+}
+
 void router_state::paint(const slice_change& change)
 {
     auto slice = change.slice;
@@ -105,7 +115,8 @@
         successor_wanted = {};
     else if (successor_wanted == instant{})
         successor_wanted = now;
-    peers = push.peers;
+    if (!push.peers.empty())
+        peers = push.peers;
     for (const auto& item : push.use)
         use[item.id] = item;
     bool is_whole = sender_epoch == epoch && push.ownership_base <= ownership_version;
--- a/src/routing/admission.cpp
+++ b/src/routing/admission.cpp
@@ -33,7 +33,8 @@
     const bool is_free = worker.in_flight < slots;
     const bool fits = is_free || (worker.in_flight < most && terms.own < share);
     admission result;
-    result.is_admitted = fits && worker.run_ms <= terms.left_ms;
+    const double room = terms.is_urgent ? std::sqrt(terms.room) : terms.room;
+    result.is_admitted = fits && worker.run_ms <= terms.left_ms && terms.draw <= room;
     // The queue shrinks by one with each run of one slot.
     const double excess = std::max(1.0, worker.in_flight + 1.0 - most);
     result.come_back_ms = std::max(worker.run_ms / 2, excess * worker.run_ms / slots);
--- a/src/routing/worker_choice.cpp
+++ b/src/routing/worker_choice.cpp
@@ -18,13 +18,22 @@
 /// Entries that see the same figures would all choose the same worker; the draw spreads them.
 constexpr double spread = 0.15;
 
+/// A request that joins a queue also delays those that come after it, so waiting counts more than
+/// running. With weight 1 the fast workers' queues grow until they are as slow as the slow ones.
+constexpr double queue_weight = 2.0;
+
+/// Rounds of runs that end before a slot is free.
+double rounds_before(const worker_option& option) noexcept
+{
+    const double slots = std::max(1U, option.slots);
+    return std::max(0.0, option.in_flight + 1 - slots) / slots;
+}
+
 } // namespace
 
 double expected_ms(const worker_option& option) noexcept
 {
-    const double slots = std::max(1U, option.slots);
-    const double rounds = std::max(0.0, option.in_flight + 1 - slots) / slots;
-    return option.run_ms * (1.0 + rounds);
+    return option.run_ms * (1.0 + rounds_before(option));
 }
 
 std::optional<worker_pick> choose_worker(std::span<const worker_option> options, double comfort_ms,
@@ -39,8 +48,9 @@
         if (option.is_excluded)
             continue;
         const double expected = expected_ms(option);
+        const double cost = option.run_ms * (1.0 + queue_weight * rounds_before(option));
         const double own_draw = std::fmod(draw + golden * static_cast<double>(n), 1.0);
-        const double price = std::max(expected, comfort_ms) * (1.0 + runs_lost_by_failure * option.failing) *
+        const double price = std::max(cost, comfort_ms) * (1.0 + runs_lost_by_failure * option.failing) *
                              (option.is_near ? 1.0 : distance_factor) * (1.0 + spread * own_draw);
         if (best && price >= best_price)
             continue;
--- /dev/null
+++ b/tests/src/unit-keys.cpp
@@ -0,0 +1,392 @@
+/// Key maps, loads, the balancer, and who may hold which keys.
+#include "support.hpp"
+
+#include <eelgrassrail/grants/claim_policy.hpp>
+#include <eelgrassrail/grants/grant_book.hpp>
+#include <eelgrassrail/grants/key_balancer.hpp>
+#include <eelgrassrail/grants/ownership_record.hpp>
+#include <eelgrassrail/grants/worker_speed.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <random>
+
+using namespace eelgrassrail;
+using namespace eelgrassrail::test;
+
+namespace
+{
+
+worker_life life(const std::string& id, std::uint64_t born = 1)
+{
+    return {id, born};
+}
+
+key_slice ready_slice(std::uint32_t first, std::uint32_t last, const std::string& owner)
+{
+    return {first, last, life(owner), true, {}, {}};
+}
+
+/// Applies a plan as if all moves were done at once.
+void carry_out(key_map& map, const std::vector<planned_move>& moves)
+{
+    for (const auto& move : moves)
+        map.paint({move.first, move.last, move.target, true, {}, {}});
+}
+
+double load_of(const key_map& map, const key_load& load, const worker_life& owner)
+{
+    double sum = 0;
+    for (const auto& slice : map.owned_by(owner))
+        sum += load.rate(slice.first, slice.last);
+    return sum;
+}
+
+std::vector<key_worker> workers_of(const std::vector<double>& capacities)
+{
+    std::vector<key_worker> workers;
+    for (std::size_t n = 0; n < capacities.size(); ++n)
+        workers.push_back({life("w" + std::to_string(n)), capacities[n], true});
+    return workers;
+}
+
+constexpr millis even_time{20'000};
+
+/// Some time of even requests.
+key_load even_load(double per_s)
+{
+    key_load load(start_time);
+    std::mt19937 random(7);
+    std::uniform_int_distribution<std::uint32_t> key(0, key_count - 1);
+    for (millis at{0}; at < even_time; at += millis(500))
+    {
+        for (int n = 0; n < static_cast<int>(per_s / 2); ++n)
+            load.add(key(random));
+        load.settle(start_time + at + millis(500));
+    }
+    return load;
+}
+
+} // namespace
+
+class unit_keys : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(unit_keys);
+    CPPUNIT_TEST(a_new_map_has_no_owner);
+    CPPUNIT_TEST(painting_splits_and_merges);
+    CPPUNIT_TEST(random_painting_keeps_the_map_whole);
+    CPPUNIT_TEST(a_record_is_painted_like_a_map);
+    CPPUNIT_TEST(a_hot_key_shows_within_half_a_second);
+    CPPUNIT_TEST(a_key_that_is_no_longer_hot_shows_too);
+    CPPUNIT_TEST(keys_without_owner_go_to_all_workers_by_capacity);
+    CPPUNIT_TEST(a_calm_load_moves_nothing);
+    CPPUNIT_TEST(hot_neighbours_are_divided_among_workers);
+    CPPUNIT_TEST(a_single_hot_key_goes_to_the_fastest_worker);
+    CPPUNIT_TEST(the_hot_piece_leaves_its_cold_neighbours);
+    CPPUNIT_TEST(a_lost_owners_keys_are_placed);
+    CPPUNIT_TEST(an_unreachable_worker_keeps_its_keys);
+    CPPUNIT_TEST(keys_on_their_way_are_left_alone);
+    CPPUNIT_TEST(a_new_empty_worker_gets_keys);
+    CPPUNIT_TEST(a_hold_ends_after_its_latest_arrival);
+    CPPUNIT_TEST(a_life_that_ended_holds_nothing);
+    CPPUNIT_TEST(holds_never_get_shorter);
+    CPPUNIT_TEST(silence_and_rank_decide_a_claim);
+    CPPUNIT_TEST(a_process_claims_back_its_own_address);
+    CPPUNIT_TEST(a_coordinator_without_log_is_succeeded);
+    CPPUNIT_TEST(speed_is_a_median);
+    CPPUNIT_TEST(a_full_slow_worker_shows_by_its_rate);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    void a_new_map_has_no_owner()
+    {
+        const key_map map;
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), map.slices().size());
+        CPPUNIT_ASSERT(map.find(key_count - 1).owner.id.empty());
+        CPPUNIT_ASSERT(!map.find(0).is_ready);
+    }
+
+    void painting_splits_and_merges()
+    {
+        key_map map;
+        map.paint(ready_slice(0, key_count - 1, "a"));
+        map.paint(ready_slice(100, 199, "b"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), map.slices().size());
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), map.find(100).owner.id);
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), map.find(200).owner.id);
+        map.paint(ready_slice(100, 199, "a"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), map.slices().size());
+        map.paint(ready_slice(5, 4, "c")); // an empty range changes nothing
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), map.slices().size());
+    }
+
+    void random_painting_keeps_the_map_whole()
+    {
+        std::mt19937 random(3);
+        std::uniform_int_distribution<std::uint32_t> key(0, key_count - 1);
+        std::uniform_int_distribution<int> owner(0, 4);
+        key_map map;
+        std::vector<int> expected(key_count, -1);
+        for (int n = 0; n < 300; ++n)
+        {
+            auto first = key(random);
+            auto last = key(random);
+            if (first > last)
+                std::swap(first, last);
+            const int who = owner(random);
+            map.paint(ready_slice(first, last, std::to_string(who)));
+            std::fill(expected.begin() + first, expected.begin() + last + 1, who);
+        }
+        std::uint32_t next = 0;
+        for (const auto& slice : map.slices())
+        {
+            CPPUNIT_ASSERT_EQUAL(next, slice.first);
+            next = slice.last + 1;
+        }
+        CPPUNIT_ASSERT_EQUAL(key_count, next);
+        for (std::uint32_t k = 0; k < key_count; k += 13)
+            CPPUNIT_ASSERT_EQUAL(expected[k] < 0 ? std::string() : std::to_string(expected[k]),
+                                 map.find(k).owner.id);
+    }
+
+    void a_record_is_painted_like_a_map()
+    {
+        ownership_record record;
+        record.paint("s", ready_slice(10, 20, "a"));
+        record.paint("s", ready_slice(15, 30, "b"));
+        record.paint("t", ready_slice(0, 0, "c"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), record.services.size());
+        key_map map;
+        for (const auto& slice : record.services[0].slices)
+            map.paint(slice);
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), map.find(14).owner.id);
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), map.find(15).owner.id);
+    }
+
+    void a_hot_key_shows_within_half_a_second()
+    {
+        auto load = even_load(140);
+        for (int n = 0; n < 25; ++n)
+            load.add(777);
+        load.settle(start_time + even_time + millis(500));
+        CPPUNIT_ASSERT(load.rate(777, 777) > 15); // 50 a second are asked for
+    }
+
+    void a_key_that_is_no_longer_hot_shows_too()
+    {
+        auto load = even_load(140);
+        for (int n = 0; n < 250; ++n)
+            load.add(777);
+        load.settle(start_time + even_time + millis(500));
+        load.settle(start_time + even_time + millis(4'500));
+        CPPUNIT_ASSERT(load.rate(777, 777) < 3);
+    }
+
+    void keys_without_owner_go_to_all_workers_by_capacity()
+    {
+        key_map map;
+        const key_load load(start_time);
+        const auto workers = workers_of({10, 20, 10, 40});
+        carry_out(map, plan_key_moves(map, load, workers, {}));
+        const double all = load.rate(0, key_count - 1);
+        for (const auto& worker : workers)
+            CPPUNIT_ASSERT_DOUBLES_EQUAL(all * worker.capacity / 80,
+                                         load_of(map, load, worker.life), all * 0.05);
+    }
+
+    void a_calm_load_moves_nothing()
+    {
+        key_map map;
+        const auto workers = workers_of({100, 100, 100});
+        carry_out(map, plan_key_moves(map, key_load(start_time), workers, {}));
+        const auto load = even_load(140); // 47 for each worker, with chance
+        CPPUNIT_ASSERT(plan_key_moves(map, load, workers, {}).empty());
+    }
+
+    void hot_neighbours_are_divided_among_workers()
+    {
+        // The pattern: 200 neighbours take half of the load, four times what their worker runs.
+        key_map map;
+        const auto workers = workers_of(std::vector<double>(10, 20.0));
+        carry_out(map, plan_key_moves(map, key_load(start_time), workers, {}));
+        auto load = even_load(70);
+        for (int n = 0; n < 160; ++n)
+        {
+            load.add(30'000 + static_cast<std::uint32_t>(n * 53 % 200));
+            load.settle(start_time + even_time + millis(n * 10));
+        }
+        const auto fixed = map; // the baseline: fixed ranges
+        balance_limits limits;
+        limits.moves = 12;
+        for (int n = 0; n < 4; ++n)
+            carry_out(map, plan_key_moves(map, load, workers, limits));
+        const auto fullest = [&](const key_map& division)
+        {
+            double most = 0;
+            for (const auto& worker : workers)
+                most = std::max(most, load_of(division, load, worker.life) / worker.capacity);
+            return most;
+        };
+        CPPUNIT_ASSERT(fullest(fixed) > 2.0);
+        CPPUNIT_ASSERT(fullest(map) < 1.0);
+    }
+
+    void a_single_hot_key_goes_to_the_fastest_worker()
+    {
+        key_map map;
+        const auto workers = workers_of({12, 12, 12, 36, 12});
+        carry_out(map, plan_key_moves(map, key_load(start_time), workers, {}));
+        auto load = even_load(20);
+        const auto key = map.owned_by(life("w0")).front().first;
+        for (int n = 0; n < 30; ++n)
+            load.add(key);
+        load.settle(start_time + even_time + millis(800));
+        CPPUNIT_ASSERT_EQUAL(std::string("w0"), map.find(key).owner.id);
+        for (int n = 0; n < 3; ++n)
+            carry_out(map, plan_key_moves(map, load, workers, {}));
+        CPPUNIT_ASSERT_EQUAL(std::string("w3"), map.find(key).owner.id);
+    }
+
+    void the_hot_piece_leaves_its_cold_neighbours()
+    {
+        key_map map;
+        const auto workers = workers_of({20, 20});
+        carry_out(map, plan_key_moves(map, key_load(start_time), workers, {}));
+        auto load = even_load(5);
+        for (int n = 0; n < 30; ++n)
+            load.add(1'000 + static_cast<std::uint32_t>(n % 10));
+        load.settle(start_time + even_time + millis(800));
+        const auto moves = plan_key_moves(map, load, workers, {});
+        CPPUNIT_ASSERT(!moves.empty());
+        std::uint32_t keys = 0;
+        for (const auto& move : moves)
+            keys += move.last - move.first + 1;
+        CPPUNIT_ASSERT(keys < 64);
+    }
+
+    void a_lost_owners_keys_are_placed()
+    {
+        key_map map;
+        map.paint(ready_slice(0, 30'000, "gone"));
+        map.paint(ready_slice(30'001, key_count - 1, "w0"));
+        const auto workers = workers_of({10, 10});
+        const auto moves = plan_key_moves(map, key_load(start_time), workers, {});
+        CPPUNIT_ASSERT(!moves.empty());
+        for (const auto& move : moves)
+            CPPUNIT_ASSERT_EQUAL(std::string("gone"), move.source.id);
+        carry_out(map, moves);
+        CPPUNIT_ASSERT(map.owned_by(life("gone")).empty());
+    }
+
+    void an_unreachable_worker_keeps_its_keys()
+    {
+        key_map map;
+        map.paint(ready_slice(0, 60'000, "w0"));
+        map.paint(ready_slice(60'001, key_count - 1, "w1"));
+        auto workers = workers_of({10, 10});
+        workers[0].may_change = false;
+        auto load = even_load(60);
+        CPPUNIT_ASSERT(plan_key_moves(map, load, workers, {}).empty());
+    }
+
+    void keys_on_their_way_are_left_alone()
+    {
+        key_map map;
+        map.paint({0, key_count - 1, life("new"), false, life("old"), {}});
+        CPPUNIT_ASSERT(
+            plan_key_moves(map, key_load(start_time), workers_of({10, 10}), {}).empty());
+    }
+
+    void a_new_empty_worker_gets_keys()
+    {
+        key_map map;
+        map.paint(ready_slice(0, key_count - 1, "w0"));
+        const auto moves =
+            plan_key_moves(map, even_load(3), workers_of({10, 10}), balance_limits{});
+        CPPUNIT_ASSERT(!moves.empty());
+        CPPUNIT_ASSERT_EQUAL(std::string("w1"), moves[0].target.id);
+    }
+
+    void a_hold_ends_after_its_latest_arrival()
+    {
+        grant_book book({millis(1'000), millis(400), 0.02, millis(80)});
+        CPPUNIT_ASSERT(!book.may_hold(life("a"), start_time));
+        book.on_grant_sent(life("a"), start_time);
+        CPPUNIT_ASSERT(book.may_hold(life("a"), start_time + millis(1'499)));
+        CPPUNIT_ASSERT(!book.may_hold(life("a"), start_time + millis(1'500)));
+        CPPUNIT_ASSERT(!book.may_hold(life("a", 2), start_time));
+    }
+
+    void a_life_that_ended_holds_nothing()
+    {
+        grant_book book({millis(1'000), millis(0), 0, millis(0)});
+        book.on_grant_sent(life("a"), start_time);
+        book.on_ended(life("a"));
+        CPPUNIT_ASSERT(!book.may_hold(life("a"), start_time));
+    }
+
+    void holds_never_get_shorter()
+    {
+        grant_book book({millis(1'000), millis(0), 0, millis(0)});
+        book.on_unknown_grants(life("a"), start_time + millis(8'000));
+        book.on_grant_sent(life("a"), start_time);
+        CPPUNIT_ASSERT(book.may_hold(life("a"), start_time + millis(8'999)));
+    }
+
+    void silence_and_rank_decide_a_claim()
+    {
+        coordinator_evidence evidence;
+        evidence.is_on_record = true;
+        evidence.last_heard = start_time;
+        CPPUNIT_ASSERT(!should_claim(evidence, start_time + coordinator_silence - millis(1)));
+        CPPUNIT_ASSERT(should_claim(evidence, start_time + coordinator_silence));
+        evidence.rank = 2;
+        CPPUNIT_ASSERT(!should_claim(evidence, start_time + coordinator_silence + claim_stagger));
+        CPPUNIT_ASSERT(should_claim(evidence, start_time + coordinator_silence + 2 * claim_stagger));
+    }
+
+    void a_process_claims_back_its_own_address()
+    {
+        coordinator_evidence evidence;
+        evidence.is_on_record = true;
+        evidence.was_own_address = true;
+        evidence.last_heard = start_time;
+        CPPUNIT_ASSERT(should_claim(evidence, start_time));
+    }
+
+    void a_coordinator_without_log_is_succeeded()
+    {
+        coordinator_evidence evidence;
+        evidence.is_on_record = true;
+        evidence.last_heard = start_time + millis(900); // it is heard, but it can not move keys
+        evidence.successor_wanted = start_time;
+        CPPUNIT_ASSERT(!should_claim(evidence, start_time + log_loss - millis(1)));
+        CPPUNIT_ASSERT(should_claim(evidence, start_time + log_loss));
+    }
+
+    void speed_is_a_median()
+    {
+        worker_speed speed;
+        CPPUNIT_ASSERT_EQUAL(0.0, speed.typical_ms());
+        for (const double ms : {5.0, 200.0, 210.0, 190.0, 900.0})
+            speed.add(ms);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(200, speed.typical_ms(), 0.5);
+    }
+
+    void a_full_slow_worker_shows_by_its_rate()
+    {
+        worker_speed speed;
+        for (int n = 0; n < 32; ++n)
+            speed.add(100);
+        auto now = start_time;
+        // Three slots answer 6 a second: 500 ms each.
+        for (int n = 0; n < 30; ++n, now += millis(333))
+            speed.on_answers(2, 9, 3, now);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(500, speed.typical_ms(), 50);
+        speed.on_answers(1, 1, 3, now);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(100, speed.typical_ms(), 1);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(unit_keys);
