Measure room after each plan; a full worker's refusals are no failures

Change: refusals and resets of a worker whose slots were all taken do not count; what is asked of each owner is measured again when moves begin.

--- a/include/eelgrassrail/router/key_coordinator.hpp
+++ b/include/eelgrassrail/router/key_coordinator.hpp
@@ -58,6 +58,7 @@
         instant last_answered{};   ///< it answered a grant
         std::size_t refusals{};    ///< connections that it refused in a row
         std::uint32_t in_flight{}; ///< sum over all reporters
+        double capacity{};         ///< requests a second, as last planned with
         double room{1.0};          ///< part of the demand for its keys that it can run
         worker_use pushed;         ///< what the processes were told last
     };
@@ -94,8 +95,7 @@
     void ask_for_copy(const entry_report& report, instant now);
     void note_exchange(const worker_entry& worker, const http_exchange& exchange, instant now);
     [[nodiscard]] std::vector<worker_use> changed_use(std::uint64_t turn);
-    void measure_room(const std::string& service, const key_load& load,
-                      std::span<const key_worker> workers);
+    void measure_room();
     void set_in_flight(reporter& sender, const std::vector<worker_sight>& sights);
     [[nodiscard]] bool may_grant(instant now) const;
     [[nodiscard]] bool is_current(const key_move& move) const;
--- a/src/router/key_moves.cpp
+++ b/src/router/key_moves.cpp
@@ -117,6 +117,7 @@
         usable.may_change = record.refusals == 0 &&
                             (record.last_answered == instant{} ||
                              now - record.last_answered < renewal_silence);
+        m_workers[usable.life.id].capacity = usable.capacity;
         result.push_back(usable);
     }
     return result;
@@ -128,6 +129,7 @@
 {
     const auto now = boot_clock::now();
     const auto moves = plan_moves(now);
+    measure_room();
     if (!moves.empty())
     {
         ++m_state.ownership_version; // the record differs from the one before
@@ -135,11 +137,11 @@
         for (const auto& move : moves)
             record.paint(move.service, move.slice);
         if (co_await write_record(std::move(record), "moves"))
-            for (const auto& move : moves)
-                begin_move(move);
+            std::ranges::for_each(moves, [this](const key_move& move) { begin_move(move); });
         else
             log_warning(log_part::ownership, "moves dropped: the record could not be written moves=" +
                                                  std::to_string(moves.size()));
+        measure_room();
         push_news(boot_clock::now());
     }
     else if (m_is_active && m_moving == 0 && m_written < m_state.ownership_version &&
@@ -163,7 +165,6 @@
         balance_limits limits;
         limits.moves = m_moving < most_balance_moves ? most_balance_moves - m_moving : 0;
         const auto workers = usable_workers(terms.name, now);
-        measure_room(terms.name, load, workers);
         for (const auto& planned : plan_key_moves(m_state.maps[terms.name], load, workers, limits))
         {
             key_move move;
@@ -179,21 +180,21 @@
     return moves;
 }
 
-/// Compares what is asked of each worker with what it can run.
-void key_coordinator::measure_room(const std::string& service, const key_load& load,
-                                   std::span<const key_worker> workers)
+/// Compares what is asked of each owner of keys with what it can run.
+void key_coordinator::measure_room()
 {
-    std::map<worker_life, double> demand;
-    for (const auto& slice : m_state.maps[service].slices())
-        demand[slice.owner] += load.rate(slice.first, slice.last);
-    for (const auto& worker : workers)
+    std::map<std::string, double, std::less<>> demand;
+    for (const auto& [service, load] : m_loads)
+        if (load.is_settled())
+            for (const auto& slice : m_state.maps[service].slices())
+                demand[slice.owner.id] += load.rate(slice.first, slice.last);
+    for (auto& [id, record] : m_workers)
     {
-        auto& record = m_workers[worker.life.id];
-        const double asked = demand[worker.life];
-        const bool is_known = load.is_settled() && record.speed.typical_ms() > 0;
-        record.room = is_known && asked > worker.capacity * room_slack
-                          ? worker.capacity * room_slack / asked
-                          : 1.0;
+        const auto asked = demand.find(id);
+        const double most = record.capacity * room_slack;
+        const bool is_full = asked != demand.end() && record.speed.typical_ms() > 0 &&
+                             asked->second > most;
+        record.room = is_full ? most / asked->second : 1.0;
     }
 }
 
--- a/src/router/request_path.cpp
+++ b/src/router/request_path.cpp
@@ -293,7 +293,12 @@
     const auto took = std::chrono::duration_cast<millis>(now - began);
     const auto kind = classify(request, m_state.format, exchange);
     const bool is_success = kind == reply_kind::answer && exchange.reply.status < 500;
-    const bool blames = kind != reply_kind::wrong_owner && !request.watch->is_gone();
+    // A full worker refuses or resets; that is no failure of the worker.
+    const bool is_full =
+        !finds_free_slot && (kind == reply_kind::not_executed || kind == reply_kind::lost) &&
+        now < request.give_up;
+    const bool blames =
+        kind != reply_kind::wrong_owner && !is_full && !request.watch->is_gone();
     link->on_end(is_success || !blames, is_success, is_success && finds_free_slot, took, now);
     request.last_worker = entry.life.id;
     m_state.counters.count(std::string("attempts_") + std::string(name_of(kind)));
