--- a/include/eelgrassrail/router/router_process.hpp
+++ b/include/eelgrassrail/router/router_process.hpp
@@ -24,6 +24,11 @@
 
     void start();
 
+    /// @brief Takes settings that have changed. Addresses and limits of the machine stay until the
+    /// process is started again.
+    /// @param why what has caused it, for the log
+    void reload(const router_settings& next, const char* why);
+
     /// @brief Planned stop: no new connections after a while, nothing that runs is cut. The context
     /// is stopped at its end.
     void begin_stop();
--- a/include/eelgrassrail/router/router_state.hpp
+++ b/include/eelgrassrail/router/router_state.hpp
@@ -65,7 +65,7 @@
     void paint(const slice_change& change);
 
   public:
-    const router_settings settings;
+    router_settings settings;
     const platform_calls calls;
     const wire_format format;
     const coordinator_identity self;
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -188,6 +188,21 @@
     m_callers.set_limits(limits);
 }
 
+void router_process::reload(const router_settings& next, const char* why)
+{
+    auto& current = m_state.settings;
+    const bool needs_start = next.caller_address != current.caller_address ||
+                             next.ready_address != current.ready_address ||
+                             next.peer_address != current.peer_address;
+    current.retry_ratio = next.retry_ratio;
+    current.retry_slack = next.retry_slack;
+    current.leave_bound = next.leave_bound;
+    current.stop_bound = next.stop_bound;
+    m_path.reset_budgets();
+    log_info(log_part::entry, std::string("settings read again why=") + why +
+                                  (needs_start ? " addresses change at the next start" : ""));
+}
+
 void router_process::begin_stop()
 {
     if (std::exchange(m_state.is_leaving, true))
