--- /dev/null
+++ b/tests/soak/fault_proxy.hpp
@@ -0,0 +1,45 @@
+/// A loopback proxy that delays, silences, cuts one way or resets what passes through it.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <set>
+
+namespace eelgrassrail::soak
+{
+
+/// What happens to the bytes of all connections.
+enum class proxy_mode : std::uint8_t
+{
+    pass,
+    delay,   ///< each piece comes later
+    silent,  ///< nothing passes, connections stay open
+    one_way, ///< requests pass, answers do not
+    refuse   ///< connections are reset
+};
+
+/// Forwards one port to another.
+class fault_proxy
+{
+  public:
+    fault_proxy(boost::asio::io_context& context, std::uint16_t from, std::uint16_t to);
+
+    void set_mode(proxy_mode mode);
+
+  private:
+    using socket = boost::asio::ip::tcp::socket;
+
+    boost::asio::awaitable<void> accept();
+    boost::asio::awaitable<void> serve(socket client);
+    boost::asio::awaitable<void> forward(socket& from, socket& to, bool is_answer);
+
+    boost::asio::io_context& m_context;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::uint16_t m_to;
+    proxy_mode m_mode{proxy_mode::pass};
+    std::set<socket*> m_open;
+};
+
+} // namespace eelgrassrail::soak
--- /dev/null
+++ b/tests/src/session-router.cpp
@@ -0,0 +1,292 @@
+/// The router, the adapter and stand-ins of store and workers, in one process on loopback.
+#include "store_standin.hpp"
+#include "worker_standin.hpp"
+
+#include <eelgrassrail/router/router_process.hpp>
+#include <eelgrassrail_platform/store_client.hpp>
+#include <eelgrassrail_platform/wire_names.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <set>
+
+using namespace eelgrassrail;
+using namespace eelgrassrail::test;
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+const std::string state_text =
+    R"({"version":"r1","limits":{"idle_timeout":"15s"},"listeners":[{"host":"h","rules":[)"
+    R"({"name":"read","kind":"safe","match":{"path_prefix":"/read/"},"action":{"service":"keys",)"
+    R"("timeout":"1500ms","max_attempts":3}},)"
+    R"({"name":"book","kind":"unsafe","match":{"path_prefix":"/book/"},"action":)"
+    R"({"service":"plain","timeout":"1500ms","max_attempts":3}}]}],"clusters":)"
+    R"([{"name":"keys","max_connections":100,"sharded":true},{"name":"plain","max_connections":100}]})";
+
+/// A store, workers and one router.
+class world
+{
+  public:
+    world()
+        : store(context, address(0))
+        , client(context.get_executor(), address(0))
+    {
+        store.put("keyed.op", "config", state_text);
+    }
+
+    static std::string address(int offset)
+    {
+        constexpr int first_port = 20'100;
+        return "127.0.0.1:" + std::to_string(first_port + offset);
+    }
+
+    worker_standin& add_worker(const std::string& id, int offset, bool is_divided,
+                               std::uint64_t born = 1)
+    {
+        worker_settings settings;
+        settings.id = id;
+        settings.address = address(offset);
+        settings.service = is_divided ? "keys" : "plain";
+        settings.zone = "z1";
+        settings.is_divided = is_divided;
+        settings.born_ms = born;
+        workers.push_back(std::make_unique<worker_standin>(context, settings));
+        store.put("keyed.servers", id, workers.back()->entry(false));
+        return *workers.back();
+    }
+
+    void start_router()
+    {
+        router_settings settings;
+        settings.vm = "r";
+        settings.zone = "z1";
+        settings.caller_address = address(50);
+        settings.ready_address = address(51);
+        settings.peer_address = address(52);
+        settings.longest_hold = millis(3'000);
+        settings.stop_bound = millis(6'000);
+        settings.retry_ratio = 0.2;
+        settings.retry_slack = 50;
+        settings.max_descriptors = 1'000;
+        router = std::make_unique<router_process>(context, settings, calls_of(client),
+                                                  platform::wire_names());
+        router->start();
+    }
+
+    asio::awaitable<void> pause(millis time)
+    {
+        asio::steady_timer timer(context, time);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+
+    asio::awaitable<http_exchange> ask(std::string target, std::string attempt, int key)
+    {
+        http_call call;
+        call.method = target.starts_with("/book") ? "POST" : "GET";
+        call.target = std::move(target);
+        call.fields = {{"Host", "h"},
+                       {"Eelgrassrail-Attempt-Id", std::move(attempt)},
+                       {"Eelgrassrail-Deadline-Ms", "2000"},
+                       {"Eelgrassrail-Shard-Key", std::to_string(key)}};
+        http_client caller(context.get_executor(), address(50), 1);
+        co_return co_await caller.exchange(std::move(call), boot_clock::now() + millis(3'000));
+    }
+
+    /// Waits until keyed requests are served, at most for some seconds.
+    asio::awaitable<bool> is_serving()
+    {
+        constexpr int most = 60;
+        for (int n = 0; n < most; ++n)
+        {
+            const auto first = co_await ask("/read/x", "ready-" + std::to_string(n), 0);
+            const auto last = co_await ask("/read/x", "readier-" + std::to_string(n), 65'535);
+            if (first.reply.status == 200 && last.reply.status == 200 &&
+                first.result == exchange_result::complete)
+                co_return true;
+            co_await pause(millis(100));
+        }
+        co_return false;
+    }
+
+    /// Runs a session to its end.
+    void run(asio::awaitable<void> session)
+    {
+        std::exception_ptr failure;
+        asio::co_spawn(context, std::move(session),
+                       [&](const std::exception_ptr& thrown)
+                       {
+                           failure = thrown;
+                           context.stop();
+                       });
+        context.run();
+        if (failure)
+            std::rethrow_exception(failure);
+    }
+
+    asio::io_context context{1};
+    store_standin store;
+    platform::store_client client;
+    std::vector<std::unique_ptr<worker_standin>> workers;
+    std::unique_ptr<router_process> router;
+};
+
+} // namespace
+
+class session_router : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(session_router);
+    CPPUNIT_TEST(the_whole_path_serves);
+    CPPUNIT_TEST(foreign_entries_name_no_worker);
+    CPPUNIT_TEST(a_store_that_turns_away_takes_no_key_out_of_service);
+    CPPUNIT_TEST(a_worker_at_a_reused_address_gets_no_keys_of_the_old_one);
+    CPPUNIT_TEST(a_planned_stop_answers_what_it_has_read);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    void the_whole_path_serves()
+    {
+        world it;
+        it.add_worker("k1", 1, true);
+        it.add_worker("k2", 2, true);
+        it.add_worker("p1", 3, false);
+        it.start_router();
+        it.run(serve_all_kinds(it));
+        CPPUNIT_ASSERT(it.store.calls < 60);
+    }
+
+    void foreign_entries_name_no_worker()
+    {
+        world it;
+        it.store.put("keyed.servers", "foreign", "\xff not a document");
+        it.store.put("keyed.servers", "half", R"({"service":"keys"})");
+        it.add_worker("k1", 1, true);
+        it.add_worker("p1", 3, false);
+        it.start_router();
+        it.run(serve_all_kinds(it));
+    }
+
+    void a_store_that_turns_away_takes_no_key_out_of_service()
+    {
+        world it;
+        it.add_worker("k1", 1, true);
+        it.add_worker("p1", 3, false);
+        it.start_router();
+        it.run(serve_without_store(it));
+    }
+
+    void a_worker_at_a_reused_address_gets_no_keys_of_the_old_one()
+    {
+        world it;
+        it.add_worker("k1", 1, true);
+        it.add_worker("k2", 2, true);
+        it.add_worker("p1", 3, false);
+        it.start_router();
+        it.run(replace_at_address(it));
+    }
+
+    void a_planned_stop_answers_what_it_has_read()
+    {
+        world it;
+        it.add_worker("k1", 1, true);
+        it.add_worker("p1", 3, false);
+        it.start_router();
+        it.run(stop_under_load(it));
+    }
+
+  private:
+    static asio::awaitable<void> serve_all_kinds(world& it)
+    {
+        const bool serves = co_await it.is_serving();
+        CPPUNIT_ASSERT(serves);
+        for (int n = 0; n < 40; ++n)
+        {
+            const auto read = co_await it.ask("/read/x", "read-" + std::to_string(n), n * 1'600);
+            CPPUNIT_ASSERT_EQUAL(200U, read.reply.status);
+            CPPUNIT_ASSERT_EQUAL("answer to read-" + std::to_string(n) + " ", read.reply.body);
+            const auto book = co_await it.ask("/book/x", "book-" + std::to_string(n), 1);
+            CPPUNIT_ASSERT_EQUAL(200U, book.reply.status);
+        }
+        const auto unknown = co_await it.ask("/other/x", "other", 1);
+        CPPUNIT_ASSERT_EQUAL(404U, unknown.reply.status);
+        std::multiset<std::string> ran;
+        for (const auto& worker : it.workers)
+            for (const auto& run : worker->journal())
+                ran.insert(run.attempt);
+        for (int n = 0; n < 40; ++n)
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), ran.count("book-" + std::to_string(n)));
+    }
+
+    static asio::awaitable<void> serve_without_store(world& it)
+    {
+        const bool serves = co_await it.is_serving();
+        CPPUNIT_ASSERT(serves);
+        // The new worker is to get keys, but nothing can be put on record.
+        it.add_worker("k2", 2, true);
+        co_await it.pause(millis(600));
+        it.store.faults.turn_away = 503;
+        for (int n = 0; n < 60; ++n)
+        {
+            const auto read = co_await it.ask("/read/x", "read-" + std::to_string(n), n * 1'000);
+            CPPUNIT_ASSERT_EQUAL(200U, read.reply.status);
+            co_await it.pause(millis(25));
+        }
+    }
+
+    static asio::awaitable<void> replace_at_address(world& it)
+    {
+        const bool serves = co_await it.is_serving();
+        CPPUNIT_ASSERT(serves);
+        it.workers[0].reset(); // k1 is lost; its entry stays for a while
+        auto& other = it.add_worker("k3", 1, true, 2);
+        co_await it.pause(millis(300));
+        const auto other_runs_now = other.journal().size();
+        for (int n = 0; n < 20; ++n)
+        {
+            co_await it.ask("/read/x", "read-" + std::to_string(n), n * 3'000);
+            co_await it.pause(millis(100));
+        }
+        static_cast<void>(other_runs_now);
+        check_owners(it);
+    }
+
+    /// No key ran at two workers with the fence of one grant, or with falling fences.
+    static void check_owners(const world& it)
+    {
+        std::map<std::uint32_t, std::map<std::string, std::uint64_t>> fences;
+        for (const auto& worker : it.workers)
+        {
+            if (!worker || !worker->settings().is_divided)
+                continue;
+            for (const auto& run : worker->journal())
+                for (const auto& [id, fence] : fences[run.key])
+                    CPPUNIT_ASSERT(id == worker->settings().id || fence != run.fence);
+            for (const auto& run : worker->journal())
+                fences[run.key][worker->settings().id] = run.fence;
+        }
+    }
+
+    static asio::awaitable<void> stop_under_load(world& it)
+    {
+        const bool serves = co_await it.is_serving();
+        CPPUNIT_ASSERT(serves);
+        it.router->begin_stop();
+        for (int n = 0; n < 60; ++n)
+        {
+            const auto read = co_await it.ask("/book/x", "book-" + std::to_string(n), 1);
+            if (read.result == exchange_result::not_written)
+                break; // it accepts no more
+            CPPUNIT_ASSERT(read.result == exchange_result::complete);
+            CPPUNIT_ASSERT_EQUAL(200U, read.reply.status);
+            co_await it.pause(millis(30));
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(session_router);
--- /dev/null
+++ b/tests/src/unit-router_state.cpp
@@ -0,0 +1,273 @@
+/// The beliefs of a process: pushes, copies and records in every order; what replies of workers say.
+#include "support.hpp"
+
+#include <eelgrassrail/router/router_state.hpp>
+#include <eelgrassrail_platform/decode.hpp>
+#include <eelgrassrail_platform/wire_names.hpp>
+
+#include "../../src/router/request_fields.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace eelgrassrail;
+using namespace eelgrassrail::test;
+
+namespace
+{
+
+std::string state_text(int version)
+{
+    return R"({"version":"r)" + std::to_string(version) +
+           R"(","limits":{},"listeners":[{"host":"h","rules":[{"kind":"safe","match":)"
+           R"({"path_prefix":"/a/"},"action":{"service":"s","timeout":"1s"}}]}],)"
+           R"("clusters":[{"name":"s","sharded":true}]})";
+}
+
+const coordinator_identity first_coordinator{"127.0.0.1:1", "z", 1};
+const coordinator_identity second_coordinator{"127.0.0.1:2", "z", 2};
+
+key_slice owned(const std::string& owner, bool is_ready = true)
+{
+    return {0, key_count - 1, {owner, 1}, is_ready, {}, {}};
+}
+
+ownership_record make_record(const coordinator_identity& who, std::uint64_t version,
+                             const std::string& owner)
+{
+    ownership_record record;
+    record.coordinator = who;
+    record.version = version;
+    record.services.push_back({"s", {owned(owner)}});
+    return record;
+}
+
+coordinator_push make_push(std::uint64_t version, std::uint64_t base)
+{
+    coordinator_push push;
+    push.sender = first_coordinator;
+    push.ownership_version = version;
+    push.ownership_base = base;
+    push.routes_version = 4;
+    return push;
+}
+
+/// A process that knows routes 4 and an ownership of epoch 1.
+struct process
+{
+    process()
+        : state(context.get_executor(), {}, make_calls(), platform::wire_names())
+    {
+        state.take_routes(state_text(4));
+        state.take_ownership(make_record(first_coordinator, epoch + 5, "a"));
+        state_copy copy;
+        copy.workers_end = 1;
+        state.take_copy(copy, first_coordinator, start_time);
+    }
+
+    static platform_calls make_calls()
+    {
+        platform_calls calls;
+        calls.decode_routes = platform::decode_routes;
+        return calls;
+    }
+
+    [[nodiscard]] std::string owner() const { return state.maps.at("s").find(0).owner.id; }
+
+    static constexpr std::uint64_t epoch = std::uint64_t(1) << epoch_shift;
+
+    boost::asio::io_context context;
+    router_state state;
+};
+
+http_exchange reply_with(unsigned status, std::vector<header_field> fields)
+{
+    http_exchange exchange;
+    exchange.result = exchange_result::complete;
+    exchange.reply.status = status;
+    exchange.reply.fields = std::move(fields);
+    return exchange;
+}
+
+} // namespace
+
+class unit_router_state : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(unit_router_state);
+    CPPUNIT_TEST(routes_never_go_back);
+    CPPUNIT_TEST(routes_that_can_not_be_read_change_nothing);
+    CPPUNIT_TEST(a_push_in_order_is_applied);
+    CPPUNIT_TEST(a_push_with_a_gap_asks_for_a_copy);
+    CPPUNIT_TEST(a_push_of_an_older_coordinator_is_ignored);
+    CPPUNIT_TEST(a_push_of_a_newer_epoch_asks_for_a_copy);
+    CPPUNIT_TEST(newer_routes_ask_for_a_copy);
+    CPPUNIT_TEST(the_record_goes_before_what_was_heard);
+    CPPUNIT_TEST(a_record_of_an_older_epoch_is_not_adopted);
+    CPPUNIT_TEST(a_new_coordinator_ends_the_wish_for_a_successor);
+    CPPUNIT_TEST(state_grows_old_without_reads);
+    CPPUNIT_TEST(replies_say_what_ran);
+    CPPUNIT_TEST(a_reply_of_another_attempt_is_not_the_answer);
+    CPPUNIT_TEST(connection_fields_are_not_passed_on);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    void routes_never_go_back()
+    {
+        process it;
+        CPPUNIT_ASSERT(!it.state.take_routes(state_text(3)));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), it.state.routes->version);
+        CPPUNIT_ASSERT(it.state.take_routes(state_text(9)));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(9), it.state.routes->version);
+    }
+
+    void routes_that_can_not_be_read_change_nothing()
+    {
+        process it;
+        CPPUNIT_ASSERT(!it.state.take_routes("{\"version\":\"r10\"}"));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), it.state.routes->version);
+    }
+
+    void a_push_in_order_is_applied()
+    {
+        process it;
+        auto push = make_push(process::epoch + 6, process::epoch + 5);
+        push.ownership.push_back({process::epoch + 6, "s", owned("b")});
+        CPPUNIT_ASSERT(it.state.take_push(push, start_time));
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), it.owner());
+        CPPUNIT_ASSERT(it.state.take_push(push, start_time)); // once more changes nothing
+        CPPUNIT_ASSERT_EQUAL(process::epoch + 6, it.state.ownership_version);
+    }
+
+    void a_push_with_a_gap_asks_for_a_copy()
+    {
+        process it;
+        auto push = make_push(process::epoch + 9, process::epoch + 8);
+        push.ownership.push_back({process::epoch + 9, "s", owned("b")});
+        CPPUNIT_ASSERT(!it.state.take_push(push, start_time));
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), it.owner());
+    }
+
+    void a_push_of_an_older_coordinator_is_ignored()
+    {
+        process it;
+        it.state.take_ownership(make_record(second_coordinator, next_epoch(process::epoch), "c"));
+        auto push = make_push(process::epoch + 6, process::epoch + 5);
+        push.ownership.push_back({process::epoch + 6, "s", owned("b")});
+        CPPUNIT_ASSERT(it.state.take_push(push, start_time));
+        CPPUNIT_ASSERT_EQUAL(std::string("c"), it.owner());
+        CPPUNIT_ASSERT(it.state.last_push == instant{});
+    }
+
+    void a_push_of_a_newer_epoch_asks_for_a_copy()
+    {
+        process it;
+        auto push = make_push(next_epoch(process::epoch), process::epoch);
+        push.sender = second_coordinator;
+        CPPUNIT_ASSERT(!it.state.take_push(push, start_time));
+    }
+
+    void newer_routes_ask_for_a_copy()
+    {
+        process it;
+        auto push = make_push(process::epoch + 5, process::epoch + 5);
+        push.routes_version = 5;
+        CPPUNIT_ASSERT(!it.state.take_push(push, start_time));
+    }
+
+    void the_record_goes_before_what_was_heard()
+    {
+        // A push may carry the version of a record without the moves that the record allows.
+        process it;
+        CPPUNIT_ASSERT(
+            it.state.take_push(make_push(process::epoch + 6, process::epoch + 5), start_time));
+        it.state.adopt_record(make_record(first_coordinator, process::epoch + 6, "b"));
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), it.owner());
+    }
+
+    void a_record_of_an_older_epoch_is_not_adopted()
+    {
+        process it;
+        it.state.take_ownership(make_record(second_coordinator, next_epoch(process::epoch), "c"));
+        it.state.adopt_record(make_record(first_coordinator, process::epoch + 90, "b"));
+        CPPUNIT_ASSERT_EQUAL(std::string("c"), it.owner());
+    }
+
+    void a_new_coordinator_ends_the_wish_for_a_successor()
+    {
+        process it;
+        auto push = make_push(process::epoch + 5, process::epoch + 5);
+        push.lacks_store = true;
+        it.state.take_push(push, start_time);
+        CPPUNIT_ASSERT(it.state.successor_wanted == start_time);
+        it.state.take_ownership(make_record(second_coordinator, next_epoch(process::epoch), "c"));
+        CPPUNIT_ASSERT(it.state.successor_wanted == instant{});
+    }
+
+    void state_grows_old_without_reads()
+    {
+        process it;
+        auto push = make_push(process::epoch + 5, process::epoch + 5);
+        push.age_ms = 300;
+        it.state.take_push(push, start_time + millis(1'000));
+        CPPUNIT_ASSERT_EQUAL(800U, it.state.age_ms(start_time + millis(1'500)));
+        CPPUNIT_ASSERT(it.state.is_fresh(start_time + millis(2'000)));
+        CPPUNIT_ASSERT(!it.state.is_fresh(start_time + millis(3'000)));
+    }
+
+    void replies_say_what_ran()
+    {
+        const auto names = platform::wire_names();
+        routed_request request;
+        request.attempt_id = "x";
+        const header_field own{names.attempt_id, "x"};
+        const header_field other{names.attempt_id, "y"};
+        const header_field sign{names.worker_signature, "s"};
+        const auto kind = [&](unsigned status, std::vector<header_field> fields)
+        { return classify(request, names, reply_with(status, std::move(fields))); };
+        CPPUNIT_ASSERT(kind(200, {own, sign}) == reply_kind::answer);
+        CPPUNIT_ASSERT(kind(200, {own}) == reply_kind::invalid);
+        CPPUNIT_ASSERT(kind(200, {other, sign}) == reply_kind::invalid);
+        CPPUNIT_ASSERT(kind(200, {own, sign, {"Content-Encoding", "gzip"}}) ==
+                       reply_kind::invalid);
+        CPPUNIT_ASSERT(kind(500, {own, sign}) == reply_kind::answer);
+        CPPUNIT_ASSERT(kind(503, {{names.not_executed, "1"}}) == reply_kind::not_executed);
+        CPPUNIT_ASSERT(kind(421, {}) == reply_kind::wrong_owner);
+        CPPUNIT_ASSERT(kind(503, {}) == reply_kind::invalid); // it does not say that it did not run
+        http_exchange lost;
+        lost.result = exchange_result::lost;
+        CPPUNIT_ASSERT(classify(request, names, lost) == reply_kind::lost);
+    }
+
+    void a_reply_of_another_attempt_is_not_the_answer()
+    {
+        const auto names = platform::wire_names();
+        routed_request request;
+        request.attempt_id = "x";
+        http_reply reply;
+        CPPUNIT_ASSERT(is_answer_to(request, names, reply));
+        reply.fields.push_back({names.attempt_id, "y"});
+        CPPUNIT_ASSERT(!is_answer_to(request, names, reply));
+    }
+
+    void connection_fields_are_not_passed_on()
+    {
+        const auto names = platform::wire_names();
+        routed_request request;
+        request.call.method = "GET";
+        request.call.target = "/a/?q";
+        request.call.fields = {{"Host", "h"},          {"Connection", "close, X-Hop"},
+                               {"X-Hop", "1"},         {"X-Kept", "2"},
+                               {"Keep-Alive", "3"},    {names.deadline, "900000"},
+                               {"content-length", "4"}};
+        request.give_up = start_time + millis(700);
+        const auto call = make_worker_call(request, names, "w", start_time);
+        CPPUNIT_ASSERT(find_field(call.fields, "X-Kept") == "2");
+        CPPUNIT_ASSERT(!find_field(call.fields, "X-Hop"));
+        CPPUNIT_ASSERT(!find_field(call.fields, "Connection"));
+        CPPUNIT_ASSERT(!find_field(call.fields, "Content-Length"));
+        CPPUNIT_ASSERT(find_field(call.fields, names.deadline) == "700");
+        CPPUNIT_ASSERT(find_field(call.fields, names.expected_worker) == "w");
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(unit_router_state);
