Collect unfinished moves before the first starts; divide the retry slack by all processes

Change: moves are collected first; the budget follows the number of processes, and assumes 100 while it is not known.

Figures: session_router::a_claim_finishes_moves_to_workers_that_are_gone is red without the change.

--- a/include/eelgrassrail/requests/retry_budget.hpp
+++ b/include/eelgrassrail/requests/retry_budget.hpp
@@ -19,6 +19,14 @@
     {
     }
 
+    /// @brief Replaces the limits; what was saved beyond the new capacity is lost.
+    void set_limits(double share, double capacity) noexcept
+    {
+        m_share = share;
+        m_capacity = capacity;
+        m_tokens = std::min(m_tokens, capacity);
+    }
+
     /// @brief A first attempt was made.
     void on_attempt() noexcept { m_tokens = std::min(m_capacity, m_tokens + m_share); }
 
--- a/include/eelgrassrail/router/request_path.hpp
+++ b/include/eelgrassrail/router/request_path.hpp
@@ -36,9 +36,6 @@
     /// @brief Another process has seen requests that were running when workers were lost.
     void take_crashes(const std::vector<crash_sight>& crashes, instant now);
 
-    /// @brief The limits of retries have changed.
-    void reset_budgets() { m_budgets.clear(); }
-
     /// @brief Requests that are being served.
     [[nodiscard]] std::size_t in_flight() const noexcept { return m_in_flight; }
 
--- a/src/router/key_moves.cpp
+++ b/src/router/key_moves.cpp
@@ -211,6 +211,8 @@
 /// A takeover finishes what the process before has begun.
 void key_coordinator::resume_moves()
 {
+    // A move may end at once and change the map, so all are collected before the first one starts.
+    std::vector<key_move> moves;
     for (const auto& [service, map] : m_state.maps)
         for (const auto& slice : map.slices())
         {
@@ -221,8 +223,10 @@
             move.slice = slice;
             move.fence = m_state.ownership_version;
             move.epoch = epoch();
-            asio::co_spawn(m_executor, move_keys(std::move(move)), asio::detached);
+            moves.push_back(std::move(move));
         }
+    for (auto& move : moves)
+        asio::co_spawn(m_executor, move_keys(std::move(move)), asio::detached);
 }
 
 bool key_coordinator::is_current(const key_move& move) const
--- a/src/router/request_path.cpp
+++ b/src/router/request_path.cpp
@@ -241,19 +241,18 @@
     return request.sent < request.way->max_attempts && budget(request.service).take();
 }
 
+/// The slack of all processes is divided by their number; while it is not known, by a large one.
 retry_budget& request_path::budget(const std::string& service)
 {
-    const auto it = m_budgets.find(service);
-    if (it != m_budgets.end())
-        return it->second;
-    constexpr double fewest = 4.0; // processes, before the others are known
-    const auto processes = std::max(fewest, static_cast<double>(m_state.peers.size()));
-    return m_budgets
-        .emplace(service,
-                 retry_budget(m_state.settings.retry_ratio * own_retry_share,
-                              std::max(1.0, m_state.settings.retry_slack * own_slack_share /
-                                                processes)))
-        .first->second;
+    constexpr std::size_t unknown_processes = 100;
+    const auto processes =
+        m_state.peers.size() > 1 ? m_state.peers.size() : unknown_processes;
+    const double share = m_state.settings.retry_ratio * own_retry_share;
+    const double capacity =
+        std::max(1.0, m_state.settings.retry_slack * own_slack_share / static_cast<double>(processes));
+    const auto it = m_budgets.try_emplace(service, share, capacity).first;
+    it->second.set_limits(share, capacity);
+    return it->second;
 }
 
 double request_path::typical_ms(const std::string& service) const
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -198,7 +198,6 @@
     current.retry_slack = next.retry_slack;
     current.leave_bound = next.leave_bound;
     current.stop_bound = next.stop_bound;
-    m_path.reset_budgets();
     log_info(log_part::entry, std::string("settings read again why=") + why +
                                   (needs_start ? " addresses change at the next start" : ""));
 }
--- a/tests/src/session-router.cpp
+++ b/tests/src/session-router.cpp
@@ -2,6 +2,7 @@
 #include "store_standin.hpp"
 #include "worker_standin.hpp"
 
+#include <eelgrassrail/peers/codec.hpp>
 #include <eelgrassrail/router/router_process.hpp>
 #include <eelgrassrail_platform/store_client.hpp>
 #include <eelgrassrail_platform/wire_names.hpp>
@@ -147,6 +148,7 @@
     CPPUNIT_TEST(a_store_that_turns_away_takes_no_key_out_of_service);
     CPPUNIT_TEST(a_worker_at_a_reused_address_gets_no_keys_of_the_old_one);
     CPPUNIT_TEST(a_planned_stop_answers_what_it_has_read);
+    CPPUNIT_TEST(a_claim_finishes_moves_to_workers_that_are_gone);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -200,6 +202,29 @@
         it.run(stop_under_load(it));
     }
 
+    void a_claim_finishes_moves_to_workers_that_are_gone()
+    {
+        world it;
+        it.add_worker("k1", 1, true);
+        it.add_worker("p1", 3, false);
+        ownership_record record;
+        record.coordinator = {world::address(52), "z1", 7}; // an earlier life of this process
+        record.version = std::uint64_t(9) << epoch_shift;
+        constexpr std::uint32_t slices = 64;
+        constexpr std::uint32_t width = key_count / slices;
+        // Every second slice was on its way to a worker that nobody knows any more.
+        for (std::uint32_t n = 0; n < slices; ++n)
+            record.paint("keys", {n * width,
+                                  (n + 1) * width - 1,
+                                  {n % 2 == 0 ? "gone" + std::to_string(n) : "k1", 1},
+                                  n % 2 != 0,
+                                  {},
+                                  {}});
+        it.store.put("keyed.ownership", "map", write_message(record));
+        it.start_router();
+        it.run(serve_all_kinds(it));
+    }
+
   private:
     static asio::awaitable<void> serve_all_kinds(world& it)
     {
