--- a/include/eelgrassrail/router/request_path.hpp
+++ b/include/eelgrassrail/router/request_path.hpp
@@ -56,6 +56,8 @@
     [[nodiscard]] http_call to_worker(const routed_request& request,
                                       const known_worker& worker) const;
     [[nodiscard]] bool may_retry(routed_request& request);
+    [[nodiscard]] std::string facts(const routed_request& request) const;
+    [[nodiscard]] std::string evidence(const routed_request& request) const;
     [[nodiscard]] http_reply refuse(routed_request& request, error_kind kind, double wait_ms);
     [[nodiscard]] retry_budget& budget(const std::string& service);
     [[nodiscard]] double typical_ms(const std::string& service) const;
--- a/include/eelgrassrail/router/routed_request.hpp
+++ b/include/eelgrassrail/router/routed_request.hpp
@@ -1,6 +1,7 @@
 /// One caller's request on its way.
 #pragma once
 
+#include <eelgrassrail/core/error_kind.hpp>
 #include <eelgrassrail/http/caller_watch.hpp>
 #include <eelgrassrail/http/message.hpp>
 #include <eelgrassrail/registry/worker_entry.hpp>
@@ -33,7 +34,8 @@
     unsigned sent{};                ///< workers that it was sent to
     bool may_have_run{};            ///< a worker may have begun to run it
     std::set<std::string> refused_by; ///< ids of workers that did not run it
-    std::string last_worker;
+    std::string last_worker;        ///< id of the worker that it was sent to last
+    error_kind end{error_kind::none}; ///< why it has no worker's answer
 };
 
 } // namespace eelgrassrail
--- a/include/eelgrassrail/router/router_process.hpp
+++ b/include/eelgrassrail/router/router_process.hpp
@@ -42,6 +42,7 @@
     void apply_limits();
     [[nodiscard]] bool reads_streams() const;
     [[nodiscard]] http_reply readiness() const;
+    void set_gauges();
 
     boost::asio::io_context& m_context;
     router_state m_state;
@@ -52,6 +53,7 @@
     key_coordinator m_coordinator;
     http_listener m_callers;
     http_listener m_ready;
+    std::unique_ptr<http_listener> m_metrics; ///< empty: no address of its own
     std::uint64_t m_limits_version{};
     std::uint64_t m_report_sequence{};
 };
--- a/include/eelgrassrail/router/router_settings.hpp
+++ b/include/eelgrassrail/router/router_settings.hpp
@@ -16,6 +16,7 @@
     std::string caller_address; ///< IP:PORT for callers
     std::string ready_address;  ///< IP:PORT for the balancer's question whether this VM is ready
     std::string peer_address;   ///< IP:PORT for other processes, TCP and UDP, and for metrics
+    std::string metrics_address; ///< IP:PORT for metrics; empty: none of its own
     millis leave_bound{};       ///< a leaving worker gets nothing later than this
     millis stop_bound{};        ///< the process is killed this long after SIGTERM
     millis longest_hold{};      ///< most time that a grant may give
--- a/src/router/request_path.cpp
+++ b/src/router/request_path.cpp
@@ -66,6 +66,14 @@
     ++m_in_flight;
     auto reply = co_await route(request);
     --m_in_flight;
+    const auto took = boot_clock::now() - request.arrived;
+    request_label label;
+    label.service = request.service;
+    label.request_class = request.way != nullptr ? request.way->name : std::string();
+    m_state.counters.on_answer(label, request.end, took);
+    if (request.end == error_kind::none)
+        log_info(log_part::front, "served " + facts(request) + " status=" +
+                                      std::to_string(reply.status));
     co_return reply;
 }
 
@@ -309,9 +317,12 @@
         typical += (static_cast<double>(took.count()) - typical) * newest_weight;
     }
     if (kind != reply_kind::answer)
-        log_debug(log_part::dispatch, "attempt " + request.attempt_id + " worker=" + entry.life.id +
-                                          " end=" + std::string(name_of(kind)) + " ms=" +
-                                          std::to_string(took.count()));
+        log_info(log_part::dispatch, "not answered attempt=" + request.attempt_id +
+                                         " worker=" + entry.life.id + " end=" +
+                                         std::string(name_of(kind)) + " status=" +
+                                         std::to_string(exchange.reply.status) + " reused=" +
+                                         std::to_string(exchange.reused ? 1 : 0) + " ms=" +
+                                         std::to_string(took.count()));
     switch (kind)
     {
     case reply_kind::answer:
@@ -372,16 +383,49 @@
     return make_worker_call(request, m_state.format, worker.entry.life.id, boot_clock::now());
 }
 
+/// What identifies a request and what was decided about it.
+std::string request_path::facts(const routed_request& request) const
+{
+    return "attempt=" + request.attempt_id +
+           " route=" + (request.way != nullptr ? request.way->name : std::string("-")) +
+           " service=" + request.service +
+           " key=" + (request.key ? std::to_string(*request.key) : std::string("-")) +
+           " worker=" + request.last_worker + " sent=" + std::to_string(request.sent) + " ms=" +
+           std::to_string(static_cast<int>(ms(boot_clock::now() - request.arrived)));
+}
+
+/// The inputs of a refusal with their versions and ages.
+std::string request_path::evidence(const routed_request& request) const
+{
+    const auto now = boot_clock::now();
+    std::string text =
+        " routes=" + std::to_string(m_state.routes ? m_state.routes->version : 0) +
+        " ownership=" + std::to_string(m_state.ownership_version) +
+        " age_ms=" + std::to_string(m_state.age_ms(now));
+    std::string id = request.last_worker;
+    const auto map = m_state.maps.find(request.service);
+    if (request.key && map != m_state.maps.end())
+    {
+        const auto& slice = map->second.find(*request.key);
+        id = slice.owner.id;
+        text += " owner=" + id + " ready=" + std::to_string(slice.is_ready ? 1 : 0) +
+                " previous=" + slice.previous.id + " since_ms=" +
+                std::to_string(static_cast<std::int64_t>(ms(now - slice.changed)));
+    }
+    if (const auto use = m_state.use.find(id); use != m_state.use.end())
+        text += " owner_in_flight=" + std::to_string(use->second.in_flight) +
+                " run_ms=" + std::to_string(use->second.typical_ms) +
+                " room=" + std::to_string(use->second.room);
+    return text;
+}
+
 http_reply request_path::refuse(routed_request& request, error_kind kind, double wait_ms)
 {
     std::uniform_real_distribution<double> draw(0.7, 1.3);
     m_state.counters.count("refused_" + std::string(name_of(kind)));
-    log_info(log_part::front, "refused attempt=" + request.attempt_id + " kind=" +
-                                  std::string(name_of(kind)) + " service=" + request.service +
-                                  " worker=" + request.last_worker +
-                                  " sent=" + std::to_string(request.sent) + " ms=" +
-                                  std::to_string(static_cast<int>(
-                                      ms(boot_clock::now() - request.arrived))));
+    request.end = kind;
+    log_info(log_part::front,
+             "refused kind=" + std::string(name_of(kind)) + " " + facts(request) + evidence(request));
     return make_refusal(kind, wait_ms * draw(m_random));
 }
 
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -82,6 +82,17 @@
           [this](http_call, const auto&) -> asio::awaitable<http_reply> { co_return readiness(); },
           malformed)
 {
+    if (m_state.settings.metrics_address.empty())
+        return;
+    m_metrics = std::make_unique<http_listener>(
+        context.get_executor(), parse_tcp_address(m_state.settings.metrics_address), http_limits{},
+        [this](http_call, const auto&) -> asio::awaitable<http_reply>
+        {
+            http_reply reply;
+            reply.body = m_state.counters.to_text();
+            co_return reply;
+        },
+        malformed);
 }
 
 void router_process::start()
@@ -94,6 +105,8 @@
     m_coordinator.start();
     m_callers.start();
     m_ready.start();
+    if (m_metrics)
+        m_metrics->start();
     asio::co_spawn(m_context, report(), asio::detached);
     log_info(log_part::entry, "started vm=" + m_state.settings.vm + " zone=" + m_state.self.zone +
                                   " born=" + std::to_string(m_state.self.born_ms));
@@ -154,11 +167,32 @@
                  m_state.coordinator.address != m_state.self.address)
             m_peers.send(m_state.coordinator.address, message);
         apply_limits();
+        set_gauges();
         m_links.close_unused(now - link_lifetime);
         m_state.workers.forget_removed(now - removed_lifetime);
     }
 }
 
+void router_process::set_gauges()
+{
+    auto& counters = m_state.counters;
+    constexpr double ms_in_s = 1'000.0;
+    counters.set("routes_version",
+                 m_state.routes ? static_cast<double>(m_state.routes->version) : 0.0);
+    counters.set("state_age_seconds", m_state.age_ms(boot_clock::now()) / ms_in_s);
+    counters.set("requests_in_flight", static_cast<double>(m_path.in_flight()));
+    counters.set("callers_connections", static_cast<double>(m_callers.connections()));
+    counters.set("coordinates", m_coordinator.is_active() ? 1.0 : 0.0);
+    counters.set("processes_known", static_cast<double>(m_state.peers.size()));
+    std::size_t slices = 0;
+    for (const auto& [service, map] : m_state.maps)
+        slices += map.slices().size();
+    counters.set("key_slices", static_cast<double>(slices));
+    std::uint64_t opened = 0;
+    m_links.for_each([&](worker_link& link) { opened += link.requests.opened(); });
+    counters.set("worker_connections_opened", static_cast<double>(opened));
+}
+
 void router_process::apply_limits()
 {
     if (!m_state.routes)
