--- a/include/eelgrassrail/core/error_kind.hpp
+++ b/include/eelgrassrail/core/error_kind.hpp
@@ -63,8 +63,7 @@
                     idempotency_key_reused, tenant_limit, overloaded, deadline_passed, no_owner,
                     not_holder, server_refused, no_server, quarantined, stopping, peer_unreachable,
                     answer_lost, server_lost, deadline_while_running, invalid_server_answer,
-                    earlier_outcome_unknown, history_incomplete, unknown_route, no_routes,
-                    withheld)
+                    earlier_outcome_unknown, history_incomplete, unknown_route, no_routes, withheld)
 
 /// One row of the table from error kind to answer.
 struct error_row
--- a/include/eelgrassrail/grants/claim_policy.hpp
+++ b/include/eelgrassrail/grants/claim_policy.hpp
@@ -11,11 +11,11 @@
 /// What a process knows about the coordinator.
 struct coordinator_evidence
 {
-    bool is_on_record{};  ///< some process is on record
-    bool was_own_address{}; ///< the one on record had this process's address, so it has ended
-    instant last_heard{}; ///< of the one on record; the own start if nothing was heard
+    bool is_on_record{};        ///< some process is on record
+    bool was_own_address{};     ///< the one on record had this process's address, so it has ended
+    instant last_heard{};       ///< of the one on record; the own start if nothing was heard
     instant successor_wanted{}; ///< it can not reach the log since then, and this process can
-    std::size_t rank{};   ///< of this process among those that may claim
+    std::size_t rank{};         ///< of this process among those that may claim
 };
 
 /// Silence after which the coordinator is taken for lost. Four pushes fit in.
--- a/include/eelgrassrail/grants/grant_book.hpp
+++ b/include/eelgrassrail/grants/grant_book.hpp
@@ -1,9 +1,9 @@
 /// Until when each worker may hold the keys that it was granted.
 ///
-/// A grant without an answer may still be applied, and its time counts from its arrival. So a worker
-/// may hold its keys from the first byte of a grant until the latest arrival plus the granted time,
-/// stretched by the drift of the worker's clock. It holds nothing any more once that has passed,
-/// once a release was answered, or once its process is known to have ended.
+/// A grant without an answer may still be applied, and its time counts from its arrival. So a
+/// worker may hold its keys from the first byte of a grant until the latest arrival plus the
+/// granted time, stretched by the drift of the worker's clock. It holds nothing any more once that
+/// has passed, once a release was answered, or once its process is known to have ended.
 #pragma once
 
 #include <eelgrassrail/core/clock.hpp>
@@ -18,10 +18,10 @@
 /// Bounds that the book counts with.
 struct hold_bounds
 {
-    millis hold{};         ///< time that a grant gives
-    millis latest_arrival{}; ///< a grant arrives at most this long after it was sent, or never
+    millis hold{};            ///< time that a grant gives
+    millis latest_arrival{};  ///< a grant arrives at most this long after it was sent, or never
     double clock_drift{0.02}; ///< a worker's clock may run slow by this share
-    millis margin{};       ///< timers and rounding
+    millis margin{};          ///< timers and rounding
 };
 
 /// Grants by worker life.
--- a/include/eelgrassrail/grants/key_balancer.hpp
+++ b/include/eelgrassrail/grants/key_balancer.hpp
@@ -17,7 +17,7 @@
 struct key_worker
 {
     worker_life life;
-    double capacity{1.0}; ///< requests a second that keep all its slots busy; positive
+    double capacity{1.0};  ///< requests a second that keep all its slots busy; positive
     bool may_change{true}; ///< false: it keeps what it has and gets nothing
 };
 
@@ -33,10 +33,10 @@
 /// Limits of one plan.
 struct balance_limits
 {
-    double calm{0.7};        ///< share of its capacity up to which a worker hardly queues
-    double tolerance{0.25};  ///< a worker may carry this much more than its share, relative
-    double least_gain{1.0};  ///< requests a second that a move must shift
-    std::size_t moves{4};    ///< most moves between live workers in one plan
+    double calm{0.7};       ///< share of its capacity up to which a worker hardly queues
+    double tolerance{0.25}; ///< a worker may carry this much more than its share, relative
+    double least_gain{1.0}; ///< requests a second that a move must shift
+    std::size_t moves{4};   ///< most moves between live workers in one plan
 };
 
 /// @brief Gives keys without a live owner to workers below their share, and shifts load from the
--- a/include/eelgrassrail/grants/key_load.hpp
+++ b/include/eelgrassrail/grants/key_load.hpp
@@ -42,8 +42,7 @@
 
     /// @brief Smallest key at or above `first` up to which the rate reaches the wanted one.
     /// @return `last` if the whole range stays below it
-    [[nodiscard]] std::uint32_t reach(std::uint32_t first, std::uint32_t last,
-                                      double wanted) const;
+    [[nodiscard]] std::uint32_t reach(std::uint32_t first, std::uint32_t last, double wanted) const;
 
   private:
     /// Sums up one bin of keys with the memory that describes it.
--- a/include/eelgrassrail/grants/worker_speed.hpp
+++ b/include/eelgrassrail/grants/worker_speed.hpp
@@ -31,9 +31,9 @@
 
     std::array<float, kept> m_times{}; ///< the last `m_count` times, oldest overwritten
     std::size_t m_count{};
-    instant m_full_since{};   ///< all slots are taken since then; none: they are not
-    double m_full_answers{};  ///< answers since then
-    double m_full_ms{};       ///< run time that they show; 0: unknown
+    instant m_full_since{};  ///< all slots are taken since then; none: they are not
+    double m_full_answers{}; ///< answers since then
+    double m_full_ms{};      ///< run time that they show; 0: unknown
 };
 
 } // namespace eelgrassrail
--- a/include/eelgrassrail/http/client.hpp
+++ b/include/eelgrassrail/http/client.hpp
@@ -26,18 +26,18 @@
 /// How one exchange is to be made.
 struct exchange_options
 {
-    instant until;                       ///< the exchange is given up at this instant
-    std::function<bool()> may_write{};   ///< asked last before the first byte; false: not written
-    std::uint64_t label{};               ///< name for `cancel`; 0 for none
+    instant until;                     ///< the exchange is given up at this instant
+    std::function<bool()> may_write{}; ///< asked last before the first byte; false: not written
+    std::uint64_t label{};             ///< name for `cancel`; 0 for none
     std::function<bool(const http_reply&)> is_answer{}; ///< false: a reply of an earlier exchange
-    millis longest_idle{millis::max()};  ///< a kept connection idle for longer is not used
+    millis longest_idle{millis::max()}; ///< a kept connection idle for longer is not used
 };
 
 /// Result of one exchange.
 struct http_exchange
 {
     exchange_result result{exchange_result::not_written};
-    bool reused{}; ///< the request went over a kept connection
+    bool reused{};  ///< the request went over a kept connection
     bool refused{}; ///< the peer refused the connection: no process listens
     bool cancelled{};
     bool keeps{}; ///< the connection can carry another request
--- a/include/eelgrassrail/http/listener.hpp
+++ b/include/eelgrassrail/http/listener.hpp
@@ -25,8 +25,8 @@
 };
 
 /// Answers one request. The watch tells whether the caller still waits.
-using http_handler = std::function<boost::asio::awaitable<http_reply>(
-    http_call, std::shared_ptr<caller_watch>)>;
+using http_handler =
+    std::function<boost::asio::awaitable<http_reply>(http_call, std::shared_ptr<caller_watch>)>;
 
 /// Makes the reply for a request that can not be parsed.
 using http_error_handler = std::function<http_reply(bool header_too_large, bool body_too_large)>;
--- a/include/eelgrassrail/registry/worker_entry.hpp
+++ b/include/eelgrassrail/registry/worker_entry.hpp
@@ -30,9 +30,9 @@
     std::string service;
     std::string address; ///< IP:PORT
     std::string zone;
-    std::uint32_t slots{1};   ///< requests that it runs at a time
-    bool is_leaving{};        ///< it takes no new work
-    std::uint32_t cold_ms{};  ///< it stays slow for this long after the entry was written
+    std::uint32_t slots{1};  ///< requests that it runs at a time
+    bool is_leaving{};       ///< it takes no new work
+    std::uint32_t cold_ms{}; ///< it stays slow for this long after the entry was written
 
     bool operator==(const worker_entry&) const = default;
 };
--- a/include/eelgrassrail/registry/worker_registry.hpp
+++ b/include/eelgrassrail/registry/worker_registry.hpp
@@ -16,10 +16,10 @@
 struct known_worker
 {
     worker_entry entry;
-    std::uint64_t offset{}; ///< of the newest change
+    std::uint64_t offset{};   ///< of the newest change
     std::uint64_t revision{}; ///< of the newest change that altered more than the age
-    instant changed{};      ///< when this process learned of the newest change
-    bool is_listed{};       ///< false: the entry was removed
+    instant changed{};        ///< when this process learned of the newest change
+    bool is_listed{};         ///< false: the entry was removed
 
     /// @brief Whether it may get new work.
     [[nodiscard]] bool takes_work() const noexcept { return is_listed && !entry.is_leaving; }
--- a/include/eelgrassrail/router/key_coordinator.hpp
+++ b/include/eelgrassrail/router/key_coordinator.hpp
@@ -1,9 +1,10 @@
 /// The duty to coordinate: who owns which keys, and what all processes know.
 ///
 /// One process has it, by a record in the ownership stream that ends the one before. Each change of
-/// ownership is a record there, appended under the condition that the stream ends where this process
-/// last met it, before the first grant that it allows is sent. So a process that was replaced without
-/// knowing it can renew what is on record, with fences below its successor's, and nothing else.
+/// ownership is a record there, appended under the condition that the stream ends where this
+/// process last met it, before the first grant that it allows is sent. So a process that was
+/// replaced without knowing it can renew what is on record, with fences below its successor's, and
+/// nothing else.
 #pragma once
 
 #include <eelgrassrail/grants/claim_policy.hpp>
@@ -16,8 +17,8 @@
 #include <eelgrassrail/router/worker_links.hpp>
 
 #include <deque>
-#include <set>
 #include <map>
+#include <set>
 #include <string>
 
 namespace eelgrassrail
@@ -46,7 +47,7 @@
     struct reporter
     {
         instant last_heard{};
-        double processor{}; ///< cores that it may use
+        double processor{};                                          ///< cores that it may use
         std::map<std::string, std::uint32_t, std::less<>> in_flight; ///< by worker id
     };
 
@@ -112,21 +113,22 @@
     bool m_is_active{};
     bool m_is_planning{};
     bool m_has_stream_end{};
-    std::uint64_t m_stream_end{};  ///< of the ownership stream, as last met
-    instant m_confirmed_at{};      ///< the stream showed no successor
+    std::uint64_t m_stream_end{}; ///< of the ownership stream, as last met
+    instant m_confirmed_at{};     ///< the stream showed no successor
     instant m_next_plan{};
     instant m_next_push{};
     instant m_next_renewal{};
     instant m_next_claim{};
     instant m_next_copy{};
     instant m_last_move{};
-    std::uint64_t m_written{};     ///< version of the last record
-    std::uint64_t m_push_base{};   ///< version before the first change in `m_changes`
-    std::deque<std::pair<instant, slice_change>> m_changes; ///< recent, for processes that miss a push
-    std::deque<std::pair<instant, std::uint64_t>> m_revisions; ///< of the registry at each push
-    std::map<std::string, reporter, std::less<>> m_reporters;  ///< by address
+    std::uint64_t m_written{};   ///< version of the last record
+    std::uint64_t m_push_base{}; ///< version before the first change in `m_changes`
+    std::deque<std::pair<instant, slice_change>>
+        m_changes; ///< recent, for processes that miss a push
+    std::deque<std::pair<instant, std::uint64_t>> m_revisions;   ///< of the registry at each push
+    std::map<std::string, reporter, std::less<>> m_reporters;    ///< by address
     std::map<std::string, worker_record, std::less<>> m_workers; ///< by id
-    std::map<std::string, key_load, std::less<>> m_loads;      ///< by service
+    std::map<std::string, key_load, std::less<>> m_loads;        ///< by service
     std::vector<std::pair<instant, crash_sight>> m_crashes;
     std::size_t m_moving{};
     std::uint64_t m_push_turn{}; ///< counts pushes
--- a/include/eelgrassrail/router/platform_calls.hpp
+++ b/include/eelgrassrail/router/platform_calls.hpp
@@ -37,8 +37,8 @@
 struct stream_page
 {
     std::vector<stream_record> records;
-    std::uint64_t end{};  ///< offset after the last record of the stream
-    bool has_gap{};       ///< records were deleted before they were read; read the newest
+    std::uint64_t end{}; ///< offset after the last record of the stream
+    bool has_gap{};      ///< records were deleted before they were read; read the newest
 };
 
 /// How a conditional append ended.
--- a/include/eelgrassrail/router/request_path.hpp
+++ b/include/eelgrassrail/router/request_path.hpp
@@ -43,7 +43,7 @@
     boost::asio::awaitable<http_reply> route(routed_request& request);
     boost::asio::awaitable<std::optional<http_reply>> try_once(routed_request& request);
     boost::asio::awaitable<std::optional<http_reply>> send(routed_request& request,
-                                                             const known_worker& worker);
+                                                           const known_worker& worker);
     boost::asio::awaitable<void> check_lost_worker(std::uint64_t fingerprint, worker_entry worker);
 
     [[nodiscard]] const known_worker* pick(routed_request& request, double& wait_ms);
--- a/include/eelgrassrail/router/routed_request.hpp
+++ b/include/eelgrassrail/router/routed_request.hpp
@@ -28,13 +28,13 @@
     std::optional<std::uint32_t> key; ///< if the service is divided by key
     std::uint64_t fingerprint{};      ///< of method, target and body
     instant arrived{};
-    instant caller_deadline{};      ///< the caller waits no longer
-    instant give_up{};              ///< the earlier of the caller's deadline and the route's timeout
-    double draw{};                  ///< drawn once: it decides whether a full worker takes it
-    unsigned sent{};                ///< workers that it was sent to
-    bool may_have_run{};            ///< a worker may have begun to run it
+    instant caller_deadline{}; ///< the caller waits no longer
+    instant give_up{};         ///< the earlier of the caller's deadline and the route's timeout
+    double draw{};             ///< drawn once: it decides whether a full worker takes it
+    unsigned sent{};           ///< workers that it was sent to
+    bool may_have_run{};       ///< a worker may have begun to run it
     std::set<std::string> refused_by; ///< ids of workers that did not run it
-    std::string last_worker;        ///< id of the worker that it was sent to last
+    std::string last_worker;          ///< id of the worker that it was sent to last
     error_kind end{error_kind::none}; ///< why it has no worker's answer
 };
 
--- a/include/eelgrassrail/router/router_message.hpp
+++ b/include/eelgrassrail/router/router_message.hpp
@@ -17,8 +17,8 @@
 struct worker_sight
 {
     std::string id;
-    std::uint32_t in_flight{};      ///< requests that it has at the worker now
-    std::uint32_t failures{};       ///< answers that were no whole answer, or a failure's
+    std::uint32_t in_flight{};           ///< requests that it has at the worker now
+    std::uint32_t failures{};            ///< answers that were no whole answer, or a failure's
     std::uint32_t answers{};             ///< whole answers that were no failure
     std::vector<std::uint16_t> times_ms; ///< of answers to requests that found a free slot
 };
@@ -53,7 +53,9 @@
     std::vector<key_sight> keys;
     std::vector<crash_sight> crashes;
 };
-BOOST_DESCRIBE_STRUCT(entry_report, (), (sender, sequence, processor, is_leaving, routes_version, age_ms, workers, keys, crashes))
+BOOST_DESCRIBE_STRUCT(entry_report, (),
+                      (sender, sequence, processor, is_leaving, routes_version, age_ms, workers,
+                       keys, crashes))
 
 /// The coordinator's sum of all reports on one worker.
 struct worker_use
@@ -91,20 +93,21 @@
     std::uint32_t age_ms{}; ///< since the platform's streams were last read to their ends
     bool lacks_store{}; ///< the store does not answer the coordinator; it can renew, but not move
     std::vector<worker_use> use;
-    std::vector<std::string> peers; ///< addresses of all processes that report, in the order in which they
-                                    ///< are to claim; empty: not said
+    std::vector<std::string> peers; ///< addresses of all processes that report, in the order in
+                                    ///< which they are to claim; empty: not said
     std::vector<crash_sight> crashes;
 };
 BOOST_DESCRIBE_STRUCT(coordinator_push, (),
                       (sender, ownership_version, ownership_base, ownership, routes_version,
-                       workers_revision, workers_base, workers_end, workers, age_ms, lacks_store, use, peers, crashes))
+                       workers_revision, workers_base, workers_end, workers, age_ms, lacks_store,
+                       use, peers, crashes))
 
 /// The whole state of a process, for one that starts or has missed changes.
 struct state_copy
 {
     ownership_record ownership;
     std::uint64_t routes_version{};
-    std::string routes_text; ///< as the platform's store holds it
+    std::string routes_text;            ///< as the platform's store holds it
     std::vector<worker_change> workers; ///< all that are known, removed ones too
     std::uint64_t workers_revision{};
     std::uint64_t workers_end{};
--- a/include/eelgrassrail/router/router_state.hpp
+++ b/include/eelgrassrail/router/router_state.hpp
@@ -33,7 +33,8 @@
     /// @brief Takes an ownership record if it is newer.
     void take_ownership(const ownership_record& record);
 
-    /// @brief Takes an ownership record also if later changes were heard, unless its epoch is older.
+    /// @brief Takes an ownership record also if later changes were heard, unless its epoch is
+    /// older.
     void adopt_record(const ownership_record& record);
 
     /// @brief Paints one slice and counts the version up to the given one.
@@ -74,7 +75,7 @@
     std::shared_ptr<const route_table> routes; ///< empty: none is known; versions only rise
     std::string routes_text;                   ///< of `routes`, as the store holds it
     worker_registry workers;
-    bool workers_unknown{true}; ///< the workers' stream was never read
+    bool workers_unknown{true};                       ///< the workers' stream was never read
     std::map<std::string, key_map, std::less<>> maps; ///< by service
     std::uint64_t ownership_version{};                ///< of `maps`; never falls
     coordinator_identity coordinator;                 ///< on record
@@ -82,11 +83,11 @@
     instant fresh_at{};                               ///< the streams were read to their ends
     instant last_push{};                              ///< from the coordinator on record
     instant successor_wanted{}; ///< the coordinator lacks the store since then; none: it does not
-    instant store_served_at{}; ///< the store last answered this process
-    instant store_lost_at{};   ///< it has not answered since then; none: it does
-    std::uint64_t push_revision{}; ///< workers' revision of the coordinator that was applied
-    coordinator_identity push_sender;                 ///< whose revisions are counted
-    std::vector<std::string> peers;                   ///< addresses of all reporting processes
+    instant store_served_at{};  ///< the store last answered this process
+    instant store_lost_at{};    ///< it has not answered since then; none: it does
+    std::uint64_t push_revision{};    ///< workers' revision of the coordinator that was applied
+    coordinator_identity push_sender; ///< whose revisions are counted
+    std::vector<std::string> peers;   ///< addresses of all reporting processes
     std::map<std::string, worker_use, std::less<>> use; ///< by worker id
     bool is_leaving{};
     change_signal changed; ///< routes, workers or ownership have changed
--- a/include/eelgrassrail/router/stream_reader.hpp
+++ b/include/eelgrassrail/router/stream_reader.hpp
@@ -41,8 +41,8 @@
     std::uint64_t m_routes_from{}; ///< next offset of the routes' stream
     instant m_routes_at{};         ///< the routes' stream was read to its end
     instant m_workers_at{};
-    std::size_t m_failures{};      ///< failed reads of the workers' stream in a row
-    instant m_back_at{};           ///< the store answered again after an outage
+    std::size_t m_failures{};             ///< failed reads of the workers' stream in a row
+    instant m_back_at{};                  ///< the store answered again after an outage
     std::vector<worker_change> m_delayed; ///< removals that may be an effect of the outage
 };
 
--- a/include/eelgrassrail/router/worker_link.hpp
+++ b/include/eelgrassrail/router/worker_link.hpp
@@ -48,7 +48,7 @@
     std::uint32_t m_in_flight{};
     std::uint32_t m_reported{}; ///< requests in flight at the last report
     worker_sight m_sight;
-    double m_failing{};     ///< as of `m_failing_at`
+    double m_failing{}; ///< as of `m_failing_at`
     instant m_failing_at{};
 };
 
--- a/include/eelgrassrail/routing/route.hpp
+++ b/include/eelgrassrail/routing/route.hpp
@@ -21,12 +21,12 @@
 {
     std::string name;
     std::string host;
-    std::string path_prefix; ///< begins and ends with a slash
-    bool is_idempotent{};    ///< a request may run more than once
-    unsigned priority{};     ///< 0 is the highest
-    millis objective{};      ///< an answer within this time has its full value
-    millis timeout{};        ///< a caller is not kept waiting for longer
-    unsigned max_attempts{1}; ///< most workers that one request is sent to
+    std::string path_prefix;                ///< begins and ends with a slash
+    bool is_idempotent{};                   ///< a request may run more than once
+    unsigned priority{};                    ///< 0 is the highest
+    millis objective{};                     ///< an answer within this time has its full value
+    millis timeout{};                       ///< a caller is not kept waiting for longer
+    unsigned max_attempts{1};               ///< most workers that one request is sent to
     std::vector<weighted_service> services; ///< not empty
 };
 
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -68,10 +68,12 @@
 {
     m_callers = std::make_unique<http_listener>(
         context.get_executor(), parse_tcp_address(m_settings.http_address), http_limits{},
-        [this](http_call call, const auto&) { return serve_caller(std::move(call)); }, malformed_reply);
+        [this](http_call call, const auto&) { return serve_caller(std::move(call)); },
+        malformed_reply);
     m_operators = std::make_unique<http_listener>(
         context.get_executor(), parse_tcp_address(m_settings.operator_address), http_limits{},
-        [this](http_call call, const auto&) { return serve_operator(*this, std::move(call)); }, malformed_reply);
+        [this](http_call call, const auto&) { return serve_operator(*this, std::move(call)); },
+        malformed_reply);
 }
 
 entry_process::~entry_process() = default;
--- a/src/grants/grant_book.cpp
+++ b/src/grants/grant_book.cpp
@@ -13,9 +13,9 @@
 
 void grant_book::on_unknown_grants(const worker_life& worker, instant last_sent)
 {
-    const auto stretched = std::chrono::duration_cast<millis>(
-        std::chrono::duration<double, std::milli>(static_cast<double>(m_bounds.hold.count()) *
-                                                  (1.0 + m_bounds.clock_drift)));
+    const auto stretched =
+        std::chrono::duration_cast<millis>(std::chrono::duration<double, std::milli>(
+            static_cast<double>(m_bounds.hold.count()) * (1.0 + m_bounds.clock_drift)));
     const auto until = last_sent + m_bounds.latest_arrival + stretched + m_bounds.margin;
     auto& free_at = m_free_at[worker];
     free_at = std::max(free_at, until);
--- a/src/grants/key_balancer.cpp
+++ b/src/grants/key_balancer.cpp
@@ -81,8 +81,7 @@
             const double whole = m_load.rate(rest.first, rest.last);
             const double wanted = std::max(target.lack(), target.fair * m_limits.tolerance);
             const bool takes_all = wanted * (1 + m_limits.tolerance) >= whole;
-            const auto last =
-                takes_all ? rest.last : m_load.reach(rest.first, rest.last, wanted);
+            const auto last = takes_all ? rest.last : m_load.reach(rest.first, rest.last, wanted);
             move(rest.first, last, rest.owner.id.empty() ? rest.previous : rest.owner, target);
             if (last == rest.last)
                 return;
@@ -153,9 +152,12 @@
         const double fast = capacities[rank];
         if (full.worker->capacity >= fast * fast_enough)
             return false;
-        auto& best = *std::ranges::min_element(
-            m_shares, {}, [fast](const share& s)
-            { return s.worker->capacity >= fast ? s.filling() : std::numeric_limits<double>::max(); });
+        auto& best = *std::ranges::min_element(m_shares, {},
+                                               [fast](const share& s) {
+                                                   return s.worker->capacity >= fast
+                                                              ? s.filling()
+                                                              : std::numeric_limits<double>::max();
+                                               });
         for (auto it = m_slices.begin(); it != m_slices.end(); ++it)
         {
             if (!it->is_ready || it->owner != full.worker->life)
@@ -170,18 +172,19 @@
     /// A worker that is full of one key gives its other keys away.
     bool take_small_slice(share& full, share& empty)
     {
-        const auto it = std::ranges::find_if(
-            m_slices,
-            [&](const key_slice& slice)
-            {
-                const double load = m_load.rate(slice.first, slice.last);
-                return slice.is_ready && slice.owner == full.worker->life &&
-                       load >= m_limits.least_gain && load <= empty.lack();
-            });
+        const auto it =
+            std::ranges::find_if(m_slices,
+                                 [&](const key_slice& slice)
+                                 {
+                                     const double load = m_load.rate(slice.first, slice.last);
+                                     return slice.is_ready && slice.owner == full.worker->life &&
+                                            load >= m_limits.least_gain && load <= empty.lack();
+                                 });
         return it != m_slices.end() && hand_over(it, full, empty);
     }
 
-    /// Cuts a piece of about the wanted load out of a worker's slices: the one with the fewest keys.
+    /// Cuts a piece of about the wanted load out of a worker's slices: the one with the fewest
+    /// keys.
     std::vector<key_slice>::iterator find_piece(const worker_life& owner, double wanted)
     {
         constexpr double least_part = 0.5; // a piece that is lighter is not worth a move
--- a/src/grants/worker_speed.cpp
+++ b/src/grants/worker_speed.cpp
@@ -30,8 +30,7 @@
     m_full_answers += static_cast<double>(answers);
     if (m_full_answers < least_answers)
         return;
-    const double passed_ms =
-        std::chrono::duration<double, std::milli>(now - m_full_since).count();
+    const double passed_ms = std::chrono::duration<double, std::milli>(now - m_full_since).count();
     m_full_ms = passed_ms * static_cast<double>(slots) / m_full_answers;
     m_full_since = now;
     m_full_answers = 0;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -153,7 +153,7 @@
     }
 
     asio::awaitable<std::unique_ptr<connection>> connect(const exchange_options& options,
-                                                        http_exchange& result)
+                                                         http_exchange& result)
     {
         if (auto kept = take_idle(options.longest_idle))
         {
@@ -221,8 +221,8 @@
         const bool needs_eof = parser.need_eof();
         const bool keeps = parser.keep_alive() && !needs_eof;
         auto reply = to_reply(parser.release());
-        if (!needs_eof && (reply.status < first_final_status ||
-                           (options.is_answer && !options.is_answer(reply))))
+        if (!needs_eof &&
+            (reply.status < first_final_status || (options.is_answer && !options.is_answer(reply))))
             co_return false;
         result.result = exchange_result::complete;
         result.keeps = keeps && used.buf.size() == 0;
--- a/src/http/listener.cpp
+++ b/src/http/listener.cpp
@@ -143,26 +143,24 @@
                                         asio::redirect_error(asio::use_awaitable, ec));
 }
 
-asio::awaitable<http_reply> http_listener::shared::handle(beast::tcp_stream& stream,
-                                                          http_call call)
+asio::awaitable<http_reply> http_listener::shared::handle(beast::tcp_stream& stream, http_call call)
 {
     const auto watch = std::make_shared<caller_watch>();
     const auto running = std::make_shared<bool>(true);
     auto& socket = stream.socket();
-    socket.async_wait(asio::ip::tcp::socket::wait_read,
-                      [watch, running, &socket](const beast::error_code& ec)
-                      {
-                          if (!*running || ec == asio::error::operation_aborted)
-                              return;
-                          beast::error_code peeked;
-                          char byte{};
-                          socket.non_blocking(true, peeked);
-                          socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek,
-                                         peeked);
-                          if (ec.failed() ||
-                              (peeked.failed() && peeked != asio::error::would_block))
-                              watch->set_gone();
-                      });
+    socket.async_wait(
+        asio::ip::tcp::socket::wait_read,
+        [watch, running, &socket](const beast::error_code& ec)
+        {
+            if (!*running || ec == asio::error::operation_aborted)
+                return;
+            beast::error_code peeked;
+            char byte{};
+            socket.non_blocking(true, peeked);
+            socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, peeked);
+            if (ec.failed() || (peeked.failed() && peeked != asio::error::would_block))
+                watch->set_gone();
+        });
     http_reply reply;
     std::exception_ptr failure;
     try
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -4,20 +4,18 @@
 
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/unlocked_frontend.hpp>
 #include <boost/log/support/date_time.hpp>
 #include <boost/log/trivial.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
 #include <boost/log/utility/setup/console.hpp>
-
-#include <boost/log/sinks/basic_sink_backend.hpp>
-#include <boost/log/sinks/unlocked_frontend.hpp>
 #include <boost/smart_ptr/make_shared.hpp>
 
-#include <fcntl.h>
-#include <unistd.h>
-
 #include <algorithm>
 #include <array>
+#include <fcntl.h>
+#include <unistd.h>
 
 namespace eelgrassrail
 {
@@ -87,8 +85,8 @@
 
 /// Writes without waiting; a line that does not fit is counted.
 class nonblocking_backend
-    : public boost::log::sinks::basic_formatted_sink_backend<
-          char, boost::log::sinks::concurrent_feeding>
+    : public boost::log::sinks::basic_formatted_sink_backend<char,
+                                                             boost::log::sinks::concurrent_feeding>
 {
   public:
     nonblocking_backend()
--- a/src/router/key_coordinator.cpp
+++ b/src/router/key_coordinator.cpp
@@ -24,8 +24,9 @@
 constexpr millis renewal_interval{2'000};
 
 /// Time that a grant gives, if the deployment allows as much. The keys of a worker that is lost
-/// without a sign are granted elsewhere only after it; a zone that is cut off goes on serving its own
-/// keys until then. Cuts of five to six seconds decide: 10 s measured better than 4 s on both sites.
+/// without a sign are granted elsewhere only after it; a zone that is cut off goes on serving its
+/// own keys until then. Cuts of five to six seconds decide: 10 s measured better than 4 s on both
+/// sites.
 constexpr millis grant_hold{10'000};
 
 /// A read of the ownership stream waits this long at the store for a record.
@@ -61,8 +62,9 @@
 {
     hold_bounds bounds;
     bounds.hold = std::min(settings.longest_hold, grant_hold);
-    bounds.latest_arrival = millis(500); // a grant call is given up and its connection reset by then
-    bounds.margin = millis(250);         // timers, and rounding at the worker
+    bounds.latest_arrival =
+        millis(500);             // a grant call is given up and its connection reset by then
+    bounds.margin = millis(250); // timers, and rounding at the worker
     return bounds;
 }
 
@@ -190,11 +192,12 @@
     m_state.coordinator = m_state.self;
     m_state.ownership_version = next_epoch(old_version);
     const auto asked = boot_clock::now();
-    const auto end = co_await m_state.calls.append_ownership(write_message(m_state.make_record()),
-                                                             m_stream_end);
+    const auto end =
+        co_await m_state.calls.append_ownership(write_message(m_state.make_record()), m_stream_end);
     if (end != append_end::done)
     {
-        // If it was executed after all, the stream shows this process's address, and it claims again.
+        // If it was executed after all, the stream shows this process's address, and it claims
+        // again.
         if (m_state.coordinator == m_state.self)
         {
             m_state.coordinator = before;
@@ -207,10 +210,11 @@
     }
     ++m_stream_end;
     m_written = m_state.ownership_version;
-    log_info(log_part::ownership,
-             "claimed before=" + before.address + " epoch=" + std::to_string(epoch()) +
-                 " heard_ms_ago=" +
-                 std::to_string(std::chrono::duration_cast<millis>(asked - m_state.last_push).count()));
+    log_info(
+        log_part::ownership,
+        "claimed before=" + before.address + " epoch=" + std::to_string(epoch()) +
+            " heard_ms_ago=" +
+            std::to_string(std::chrono::duration_cast<millis>(asked - m_state.last_push).count()));
     m_confirmed_at = asked;
     if (before.address == m_state.self.address)
         take_duty(m_state.started);
@@ -261,8 +265,8 @@
     m_state.coordinator = {};
     m_state.ownership_version = next_epoch(m_state.ownership_version);
     push_news(boot_clock::now());
-    const auto end = co_await m_state.calls.append_ownership(write_message(m_state.make_record()),
-                                                             m_stream_end);
+    const auto end =
+        co_await m_state.calls.append_ownership(write_message(m_state.make_record()), m_stream_end);
     log_info(log_part::ownership,
              end == append_end::done ? "duty given up" : "duty given up without a record");
 }
@@ -382,8 +386,8 @@
 void key_coordinator::push_news(instant now)
 {
     // With many processes a push takes more processor time, so there are fewer.
-    m_next_push = now + std::max(push_interval, push_time_per_peer * static_cast<std::int64_t>(
-                                                                         m_reporters.size()));
+    m_next_push = now + std::max(push_interval, push_time_per_peer *
+                                                    static_cast<std::int64_t>(m_reporters.size()));
     while (!m_changes.empty() &&
            (m_changes.front().first < now - repeat_time || m_changes.size() > most_changes))
     {
@@ -400,8 +404,7 @@
             set_in_flight(it->second, {});
         it = is_silent ? m_reporters.erase(it) : std::next(it);
     }
-    std::erase_if(m_crashes,
-                  [now](const auto& item) { return item.first < now - crash_memory; });
+    std::erase_if(m_crashes, [now](const auto& item) { return item.first < now - crash_memory; });
     coordinator_push push;
     push.sender = m_state.self;
     push.ownership_version = m_state.ownership_version;
@@ -488,7 +491,8 @@
             worker.speed.add(time);
         constexpr double newest = 0.1;
         const auto* known = m_state.workers.find(sight.id);
-        worker.speed.on_answers(sight.answers, worker.in_flight, known ? known->entry.slots : 1, now);
+        worker.speed.on_answers(sight.answers, worker.in_flight, known ? known->entry.slots : 1,
+                                now);
         const std::size_t good = sight.answers;
         for (std::size_t n = 0; n < good + sight.failures; ++n)
             worker.failing += ((n < good ? 0.0 : 1.0) - worker.failing) * newest;
@@ -514,11 +518,9 @@
 /// A process that the store serves lends its state to a coordinator that is turned away.
 void key_coordinator::ask_for_copy(const entry_report& report, instant now)
 {
-    const bool is_newer =
-        m_state.routes && report.routes_version > m_state.routes->version;
-    const bool is_fresher =
-        m_state.age_ms(now) > stale_age.count() && report.age_ms + stale_age.count() / 2 <
-                                                       m_state.age_ms(now);
+    const bool is_newer = m_state.routes && report.routes_version > m_state.routes->version;
+    const bool is_fresher = m_state.age_ms(now) > stale_age.count() &&
+                            report.age_ms + stale_age.count() / 2 < m_state.age_ms(now);
     if ((!is_newer && !is_fresher) || now < m_next_copy)
         return;
     m_next_copy = now + push_interval;
--- a/src/router/key_moves.cpp
+++ b/src/router/key_moves.cpp
@@ -114,9 +114,8 @@
         usable.capacity = worker->entry.slots * ms_in_s / run_ms *
                           std::max(least_success, 1.0 - failing) *
                           (worker->is_cold(now) ? cold_capacity : 1.0);
-        usable.may_change = record.refusals == 0 &&
-                            (record.last_answered == instant{} ||
-                             now - record.last_answered < renewal_silence);
+        usable.may_change = record.refusals == 0 && (record.last_answered == instant{} ||
+                                                     now - record.last_answered < renewal_silence);
         m_workers[usable.life.id].capacity = usable.capacity;
         result.push_back(usable);
     }
@@ -139,8 +138,9 @@
         if (co_await write_record(std::move(record), "moves"))
             std::ranges::for_each(moves, [this](const key_move& move) { begin_move(move); });
         else
-            log_warning(log_part::ownership, "moves dropped: the record could not be written moves=" +
-                                                 std::to_string(moves.size()));
+            log_warning(log_part::ownership,
+                        "moves dropped: the record could not be written moves=" +
+                            std::to_string(moves.size()));
         measure_room();
         push_news(boot_clock::now());
     }
@@ -192,8 +192,8 @@
     {
         const auto asked = demand.find(id);
         const double most = record.capacity * room_slack;
-        const bool is_full = asked != demand.end() && record.speed.typical_ms() > 0 &&
-                             asked->second > most;
+        const bool is_full =
+            asked != demand.end() && record.speed.typical_ms() > 0 && asked->second > most;
         record.room = is_full ? most / asked->second : 1.0;
     }
 }
@@ -256,13 +256,12 @@
         slice.owner = {};
         m_next_plan = {};
     }
-    log_info(log_part::ownership,
-             std::string(is_given ? "moved" : "not moved") + " service=" + move.service +
-                 " keys=" + range_text(slice) + " from=" + move.slice.previous.id +
-                 " to=" + move.slice.owner.id + " fence=" + std::to_string(move.fence) +
-                 " ms=" +
-                 std::to_string(
-                     std::chrono::duration_cast<millis>(boot_clock::now() - began).count()));
+    log_info(
+        log_part::ownership,
+        std::string(is_given ? "moved" : "not moved") + " service=" + move.service +
+            " keys=" + range_text(slice) + " from=" + move.slice.previous.id +
+            " to=" + move.slice.owner.id + " fence=" + std::to_string(move.fence) + " ms=" +
+            std::to_string(std::chrono::duration_cast<millis>(boot_clock::now() - began).count()));
     paint(move.service, slice);
     m_last_move = boot_clock::now();
     push_news(m_last_move);
@@ -273,8 +272,8 @@
 asio::awaitable<std::string> key_coordinator::free_source(const key_move& move)
 {
     const auto& source = move.slice.previous;
-    // The same id may have started again, and a renewal for the life before may have reached the new
-    // one; so it is released as well.
+    // The same id may have started again, and a renewal for the life before may have reached the
+    // new one; so it is released as well.
     while (is_current(move) && m_book.may_hold(source, boot_clock::now()))
     {
         const auto* worker = m_state.workers.find(source.id);
@@ -379,9 +378,9 @@
         const auto exchange =
             co_await call_worker(worker, m_state.format.grant(grant), grant_timeout, true);
         if (exchange.result == exchange_result::complete && exchange.reply.status != 200)
-            log_debug(log_part::ownership, "renewal refused worker=" + worker.life.id + " keys=" +
-                                               range_text(slice) + " status=" +
-                                               std::to_string(exchange.reply.status));
+            log_debug(log_part::ownership, "renewal refused worker=" + worker.life.id +
+                                               " keys=" + range_text(slice) +
+                                               " status=" + std::to_string(exchange.reply.status));
         if (exchange.result != exchange_result::complete)
             co_return;
     }
--- a/src/router/request_fields.cpp
+++ b/src/router/request_fields.cpp
@@ -26,9 +26,16 @@
 constexpr millis default_deadline{10'000};
 
 /// Fields that belong to one connection.
-constexpr std::array<std::string_view, 10> connection_fields{
-    "Connection", "Keep-Alive", "Proxy-Connection",  "Proxy-Authenticate", "Proxy-Authorization",
-    "TE",         "Trailer",    "Transfer-Encoding", "Upgrade",            "Content-Length"};
+constexpr std::array<std::string_view, 10> connection_fields{"Connection",
+                                                             "Keep-Alive",
+                                                             "Proxy-Connection",
+                                                             "Proxy-Authenticate",
+                                                             "Proxy-Authorization",
+                                                             "TE",
+                                                             "Trailer",
+                                                             "Transfer-Encoding",
+                                                             "Upgrade",
+                                                             "Content-Length"};
 
 bool is_connection_field(std::string_view name)
 {
--- a/src/router/request_path.cpp
+++ b/src/router/request_path.cpp
@@ -1,6 +1,5 @@
 /// Decisions on one request, from its arrival to its answer.
 #include "request_fields.hpp"
-
 #include <eelgrassrail/observe/log.hpp>
 #include <eelgrassrail/router/request_path.hpp>
 #include <eelgrassrail/router/routed_request.hpp>
@@ -72,8 +71,8 @@
     label.request_class = request.way != nullptr ? request.way->name : std::string();
     m_state.counters.on_answer(label, request.end, took);
     if (request.end == error_kind::none)
-        log_info(log_part::front, "served " + facts(request) + " status=" +
-                                      std::to_string(reply.status));
+        log_info(log_part::front,
+                 "served " + facts(request) + " status=" + std::to_string(reply.status));
     co_return reply;
 }
 
@@ -107,10 +106,9 @@
 {
     const auto now = boot_clock::now();
     if (now >= request.give_up)
-        co_return refuse(request,
-                         request.may_have_run ? error_kind::deadline_while_running
-                                              : error_kind::overloaded,
-                         0);
+        co_return refuse(
+            request,
+            request.may_have_run ? error_kind::deadline_while_running : error_kind::overloaded, 0);
     double wait_ms = 0;
     const auto* worker = pick(request, wait_ms);
     if (worker == nullptr && request.key && wait_ms == 0)
@@ -125,10 +123,9 @@
         co_return refuse(request, wait_ms > 0 ? error_kind::overloaded : error_kind::no_server,
                          wait_ms);
     if (request.sent > 0 && !may_retry(request))
-        co_return refuse(request,
-                         request.may_have_run ? error_kind::server_lost
-                                              : error_kind::server_refused,
-                         typical_ms(request.service));
+        co_return refuse(
+            request, request.may_have_run ? error_kind::server_lost : error_kind::server_refused,
+            typical_ms(request.service));
     co_return co_await send(request, *worker);
 }
 
@@ -165,8 +162,7 @@
         options.back().is_excluded = request.refused_by.contains(worker->entry.life.id);
     }
     std::uniform_real_distribution<double> draw(0, 1);
-    const auto best =
-        choose_worker(options, ms(request.way->objective) * comfort, draw(m_random));
+    const auto best = choose_worker(options, ms(request.way->objective) * comfort, draw(m_random));
     if (!best)
     {
         wait_ms = request.refused_by.empty() ? 0 : typical_ms(request.service);
@@ -253,11 +249,10 @@
 retry_budget& request_path::budget(const std::string& service)
 {
     constexpr std::size_t unknown_processes = 100;
-    const auto processes =
-        m_state.peers.size() > 1 ? m_state.peers.size() : unknown_processes;
+    const auto processes = m_state.peers.size() > 1 ? m_state.peers.size() : unknown_processes;
     const double share = m_state.settings.retry_ratio * own_retry_share;
-    const double capacity =
-        std::max(1.0, m_state.settings.retry_slack * own_slack_share / static_cast<double>(processes));
+    const double capacity = std::max(1.0, m_state.settings.retry_slack * own_slack_share /
+                                              static_cast<double>(processes));
     const auto it = m_budgets.try_emplace(service, share, capacity).first;
     it->second.set_limits(share, capacity);
     return it->second;
@@ -301,11 +296,10 @@
     const auto kind = classify(request, m_state.format, exchange);
     const bool is_success = kind == reply_kind::answer && exchange.reply.status < 500;
     // A full worker refuses or resets; that is no failure of the worker.
-    const bool is_full =
-        !finds_free_slot && (kind == reply_kind::not_executed || kind == reply_kind::lost) &&
-        now < request.give_up;
-    const bool blames =
-        kind != reply_kind::wrong_owner && !is_full && !request.watch->is_gone();
+    const bool is_full = !finds_free_slot &&
+                         (kind == reply_kind::not_executed || kind == reply_kind::lost) &&
+                         now < request.give_up;
+    const bool blames = kind != reply_kind::wrong_owner && !is_full && !request.watch->is_gone();
     link->on_end(is_success || !blames, is_success, is_success && finds_free_slot, took, now);
     request.last_worker = entry.life.id;
     m_state.counters.count(std::string("attempts_") + std::string(name_of(kind)));
@@ -317,12 +311,11 @@
         typical += (static_cast<double>(took.count()) - typical) * newest_weight;
     }
     if (kind != reply_kind::answer)
-        log_info(log_part::dispatch, "not answered attempt=" + request.attempt_id +
-                                         " worker=" + entry.life.id + " end=" +
-                                         std::string(name_of(kind)) + " status=" +
-                                         std::to_string(exchange.reply.status) + " reused=" +
-                                         std::to_string(exchange.reused ? 1 : 0) + " ms=" +
-                                         std::to_string(took.count()));
+        log_info(log_part::dispatch, "not answered attempt=" + request.attempt_id + " worker=" +
+                                         entry.life.id + " end=" + std::string(name_of(kind)) +
+                                         " status=" + std::to_string(exchange.reply.status) +
+                                         " reused=" + std::to_string(exchange.reused ? 1 : 0) +
+                                         " ms=" + std::to_string(took.count()));
     switch (kind)
     {
     case reply_kind::answer:
@@ -353,9 +346,9 @@
             result = refuse(request, error_kind::deadline_while_running, 0);
         else if (!request.way->is_idempotent)
             result = refuse(request,
-                                  kind == reply_kind::lost ? error_kind::server_lost
-                                                           : error_kind::invalid_server_answer,
-                                  0);
+                            kind == reply_kind::lost ? error_kind::server_lost
+                                                     : error_kind::invalid_server_answer,
+                            0);
         break;
     }
     co_return result;
@@ -371,9 +364,9 @@
     co_await timer.async_wait(asio::use_awaitable);
     if (!co_await refuses_connections(m_executor, worker.address, longest))
         co_return;
-    log_warning(log_part::dispatch, "worker " + worker.life.id +
-                                        " was lost during a run fingerprint=" +
-                                        std::to_string(fingerprint));
+    log_warning(log_part::dispatch,
+                "worker " + worker.life.id +
+                    " was lost during a run fingerprint=" + std::to_string(fingerprint));
     m_quarantine.on_server_lost(fingerprint, worker.life.id, boot_clock::now());
     m_crashes.push_back({fingerprint, worker.life.id});
 }
@@ -390,18 +383,17 @@
            " route=" + (request.way != nullptr ? request.way->name : std::string("-")) +
            " service=" + request.service +
            " key=" + (request.key ? std::to_string(*request.key) : std::string("-")) +
-           " worker=" + request.last_worker + " sent=" + std::to_string(request.sent) + " ms=" +
-           std::to_string(static_cast<int>(ms(boot_clock::now() - request.arrived)));
+           " worker=" + request.last_worker + " sent=" + std::to_string(request.sent) +
+           " ms=" + std::to_string(static_cast<int>(ms(boot_clock::now() - request.arrived)));
 }
 
 /// The inputs of a refusal with their versions and ages.
 std::string request_path::evidence(const routed_request& request) const
 {
     const auto now = boot_clock::now();
-    std::string text =
-        " routes=" + std::to_string(m_state.routes ? m_state.routes->version : 0) +
-        " ownership=" + std::to_string(m_state.ownership_version) +
-        " age_ms=" + std::to_string(m_state.age_ms(now));
+    std::string text = " routes=" + std::to_string(m_state.routes ? m_state.routes->version : 0) +
+                       " ownership=" + std::to_string(m_state.ownership_version) +
+                       " age_ms=" + std::to_string(m_state.age_ms(now));
     std::string id = request.last_worker;
     const auto map = m_state.maps.find(request.service);
     if (request.key && map != m_state.maps.end())
@@ -409,8 +401,8 @@
         const auto& slice = map->second.find(*request.key);
         id = slice.owner.id;
         text += " owner=" + id + " ready=" + std::to_string(slice.is_ready ? 1 : 0) +
-                " previous=" + slice.previous.id + " since_ms=" +
-                std::to_string(static_cast<std::int64_t>(ms(now - slice.changed)));
+                " previous=" + slice.previous.id +
+                " since_ms=" + std::to_string(static_cast<std::int64_t>(ms(now - slice.changed)));
     }
     if (const auto use = m_state.use.find(id); use != m_state.use.end())
         text += " owner_in_flight=" + std::to_string(use->second.in_flight) +
@@ -424,8 +416,8 @@
     std::uniform_real_distribution<double> draw(0.7, 1.3);
     m_state.counters.count("refused_" + std::string(name_of(kind)));
     request.end = kind;
-    log_info(log_part::front,
-             "refused kind=" + std::string(name_of(kind)) + " " + facts(request) + evidence(request));
+    log_info(log_part::front, "refused kind=" + std::string(name_of(kind)) + " " + facts(request) +
+                                  evidence(request));
     return make_refusal(kind, wait_ms * draw(m_random));
 }
 
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -97,10 +97,9 @@
 
 void router_process::start()
 {
-    m_peers.start(
-        [this](const entry_report& report)
-        { m_coordinator.take_report(report, boot_clock::now()); },
-        [this](const coordinator_push& push) { take_push(push); });
+    m_peers.start([this](const entry_report& report)
+                  { m_coordinator.take_report(report, boot_clock::now()); },
+                  [this](const coordinator_push& push) { take_push(push); });
     m_reader.start([this] { return reads_streams(); });
     m_coordinator.start();
     m_callers.start();
@@ -115,9 +114,10 @@
 bool router_process::reads_streams() const
 {
     const auto now = boot_clock::now();
-    // When all processes start for the first time, there is time to wait for the coordinator's copy;
-    // a process that starts later serves sooner if it reads for itself.
-    if (m_state.settings.is_first_start && !m_coordinator.is_active() && now - m_state.started < first_push_wait)
+    // When all processes start for the first time, there is time to wait for the coordinator's
+    // copy; a process that starts later serves sooner if it reads for itself.
+    if (m_state.settings.is_first_start && !m_coordinator.is_active() &&
+        now - m_state.started < first_push_wait)
         return false;
     return m_coordinator.is_active() || !m_state.can_serve() ||
            now - m_state.last_push > push_silence || m_state.successor_wanted != instant{} ||
@@ -200,14 +200,13 @@
     std::size_t fewest = 0;
     for (const auto& terms : m_state.routes->services)
         if (terms.max_connections > 0)
-            fewest = fewest == 0 ? terms.max_connections
-                                 : std::min(fewest, terms.max_connections);
+            fewest = fewest == 0 ? terms.max_connections : std::min(fewest, terms.max_connections);
     constexpr std::size_t least_processes = 4;
     const auto processes = std::max(least_processes, m_state.peers.size());
     if (fewest > 0)
         m_links.set_limit(std::max<std::size_t>(
-            2, static_cast<std::size_t>(static_cast<double>(fewest) * connection_share) /
-                   processes));
+            2,
+            static_cast<std::size_t>(static_cast<double>(fewest) * connection_share) / processes));
     if (m_state.routes->version == m_limits_version)
         return;
     m_limits_version = m_state.routes->version;
--- a/src/router/router_state.cpp
+++ b/src/router/router_state.cpp
@@ -62,9 +62,9 @@
         return;
     ownership_version = record.version;
     if (!(coordinator == record.coordinator))
-        log_info(log_part::ownership, "coordinator on record address=" +
-                                          record.coordinator.address +
-                                          " version=" + std::to_string(record.version));
+        log_info(log_part::ownership,
+                 "coordinator on record address=" + record.coordinator.address +
+                     " version=" + std::to_string(record.version));
     if (!(coordinator == record.coordinator))
     {
         coordinator_since = boot_clock::now();
--- a/src/router/stream_reader.cpp
+++ b/src/router/stream_reader.cpp
@@ -16,8 +16,8 @@
 namespace
 {
 
-/// Between two reads of the workers' entries: a quarter of the time in which a leaving worker must get
-/// nothing more.
+/// Between two reads of the workers' entries: a quarter of the time in which a leaving worker must
+/// get nothing more.
 constexpr millis workers_pause{500};
 
 /// A read of the routes waits this long at the store for a change.
@@ -62,8 +62,7 @@
     }
     if (m_failures > 0)
     {
-        log_info(log_part::platform,
-                 "store answers again failures=" + std::to_string(m_failures));
+        log_info(log_part::platform, "store answers again failures=" + std::to_string(m_failures));
         m_back_at = boot_clock::now();
     }
     m_failures = 0;
@@ -85,8 +84,8 @@
             continue;
         }
         const auto asked = boot_clock::now();
-        const bool is_good = m_state.workers_unknown ? co_await read_newest_workers()
-                                                     : co_await read_more_workers();
+        const bool is_good =
+            m_state.workers_unknown ? co_await read_newest_workers() : co_await read_more_workers();
         on_result(is_good, asked);
         apply({}, boot_clock::now());
         co_await pause(is_good ? workers_pause : pause_after_failure);
--- a/src/router/worker_link.cpp
+++ b/src/router/worker_link.cpp
@@ -12,7 +12,8 @@
 /// Weight of the newest request in the share of failures.
 constexpr double newest_weight = 0.2;
 
-/// Without requests the share of failures falls to 1/e in this time, so that a worker is tried again.
+/// Without requests the share of failures falls to 1/e in this time, so that a worker is tried
+/// again.
 constexpr double failing_memory_s = 2.0;
 
 /// Grants and releases to one worker at a time; releases wait for work that runs.
--- a/src/router/worker_links.cpp
+++ b/src/router/worker_links.cpp
@@ -12,8 +12,8 @@
     {
         try
         {
-            link = std::make_shared<worker_link>(m_executor, worker.life.id, worker.address,
-                                                 m_limit);
+            link =
+                std::make_shared<worker_link>(m_executor, worker.life.id, worker.address, m_limit);
         }
         catch (const std::invalid_argument& e)
         {
--- a/src/routing/worker_choice.cpp
+++ b/src/routing/worker_choice.cpp
@@ -50,7 +50,8 @@
         const double expected = expected_ms(option);
         const double cost = option.run_ms * (1.0 + queue_weight * rounds_before(option));
         const double own_draw = std::fmod(draw + golden * static_cast<double>(n), 1.0);
-        const double price = std::max(cost, comfort_ms) * (1.0 + runs_lost_by_failure * option.failing) *
+        const double price = std::max(cost, comfort_ms) *
+                             (1.0 + runs_lost_by_failure * option.failing) *
                              (option.is_near ? 1.0 : distance_factor) * (1.0 + spread * own_draw);
         if (best && price >= best_price)
             continue;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -42,15 +42,14 @@
     eelgrassrail::soak::soak_world world(context, FLAGS_bin, folder,
                                          static_cast<std::uint16_t>(FLAGS_first_port), seed);
     std::vector<std::string> broken;
-    boost::asio::co_spawn(
-        context, world.run(eelgrassrail::millis(FLAGS_fault_s * 1'000)),
-        [&](const std::exception_ptr& failure, std::vector<std::string> result)
-        {
-            broken = std::move(result);
-            if (failure)
-                broken.push_back("the soak itself failed");
-            context.stop();
-        });
+    boost::asio::co_spawn(context, world.run(eelgrassrail::millis(FLAGS_fault_s * 1'000)),
+                          [&](const std::exception_ptr& failure, std::vector<std::string> result)
+                          {
+                              broken = std::move(result);
+                              if (failure)
+                                  broken.push_back("the soak itself failed");
+                              context.stop();
+                          });
     context.run();
     std::cout << "seed " << seed << (broken.empty() ? " kept" : " BROKEN") << std::endl;
     for (const auto& line : broken)
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -114,7 +114,8 @@
     m_store.emplace(m_bin + "/standin_store",
                     std::vector<std::string>{"--address=" + address(m_store_port)},
                     m_folder + "/store.log");
-    m_store_client = std::make_unique<http_client>(context.get_executor(), address(m_store_port), 2);
+    m_store_client =
+        std::make_unique<http_client>(context.get_executor(), address(m_store_port), 2);
     for (std::size_t n = 0; n < m_sizes.keyed_workers + m_sizes.plain_workers; ++n)
     {
         worker item;
@@ -133,8 +134,7 @@
         item.front = next_port();
         m_next_port += 2; // ready and peers
         item.store_port = next_port();
-        item.store_proxy =
-            std::make_unique<fault_proxy>(m_context, item.store_port, m_store_port);
+        item.store_proxy = std::make_unique<fault_proxy>(m_context, item.store_port, m_store_port);
         start(item);
         m_routers.push_back(std::move(item));
     }
@@ -157,16 +157,16 @@
 void soak_world::start(worker& item)
 {
     ++item.starts;
-    item.process.emplace(
-        m_bin + "/standin_worker",
-        std::vector<std::string>{
-            "--id=" + item.id, "--address=" + address(item.port),
-            "--advertise=" + address(static_cast<std::uint16_t>(item.port + 1)),
-            "--store=" + address(m_store_port),
-            std::string("--service=") + (item.is_divided ? "keys" : "plain"),
-            std::string("--divided=") + (item.is_divided ? "true" : "false"),
-            "--born_ms=" + std::to_string(1'700'000'000'000 + item.starts)},
-        m_folder + "/worker-" + item.id + "-" + std::to_string(item.starts) + ".log");
+    item.process.emplace(m_bin + "/standin_worker",
+                         std::vector<std::string>{
+                             "--id=" + item.id, "--address=" + address(item.port),
+                             "--advertise=" + address(static_cast<std::uint16_t>(item.port + 1)),
+                             "--store=" + address(m_store_port),
+                             std::string("--service=") + (item.is_divided ? "keys" : "plain"),
+                             std::string("--divided=") + (item.is_divided ? "true" : "false"),
+                             "--born_ms=" + std::to_string(1'700'000'000'000 + item.starts)},
+                         m_folder + "/worker-" + item.id + "-" + std::to_string(item.starts) +
+                             ".log");
 }
 
 std::size_t soak_world::draw(std::size_t below)
@@ -212,8 +212,8 @@
     call.method = is_idempotent ? "GET" : "POST";
     call.target = is_keyed ? (is_idempotent ? "/read/x" : "/file/x")
                            : (is_idempotent ? "/look/x" : "/book/x");
-    call.fields = {{"Host", "soak"}, {id_field, result.attempt},
-                   {"Eelgrassrail-Deadline-Ms", "2000"}};
+    call.fields = {
+        {"Host", "soak"}, {id_field, result.attempt}, {"Eelgrassrail-Deadline-Ms", "2000"}};
     // A third of the requests are for one key.
     const auto key = draw(3) == 0 ? 4'711 : draw(keys);
     if (is_keyed)
@@ -255,8 +255,8 @@
     const auto mode = modes.at(draw(modes.size()));
     const auto kind = draw(9);
     note("fault kind=" + std::to_string(kind) + " router=" + entry.name + " worker=" + server.id +
-         " ms=" + std::to_string(length.count()) + " mode=" +
-         std::to_string(static_cast<int>(mode)));
+         " ms=" + std::to_string(length.count()) +
+         " mode=" + std::to_string(static_cast<int>(mode)));
     switch (kind)
     {
     case 0: // killed and started again
@@ -295,8 +295,9 @@
         entry.store_proxy->set_mode(proxy_mode::pass);
         break;
     case 7:
-        co_await set_store(draw(2) == 0 ? "turn_away=503"
-                                        : draw(2) == 0 ? "lose_answers=40" : "slow_ms=200");
+        co_await set_store(draw(2) == 0   ? "turn_away=503"
+                           : draw(2) == 0 ? "lose_answers=40"
+                                          : "slow_ms=200");
         co_await pause(length);
         co_await set_store("turn_away=0");
         break;
@@ -362,8 +363,8 @@
     for (const auto& item : m_told)
     {
         const auto n = runs_of.contains(item.attempt) ? runs_of.at(item.attempt) : 0;
-        const bool says_not_run = item.status == 429 || item.status == 503 || item.status == 408 ||
-                                  item.status == 421;
+        const bool says_not_run =
+            item.status == 429 || item.status == 503 || item.status == 408 || item.status == 421;
         if (item.status == 200 && (!item.is_own || n == 0))
             broken.push_back("answer: " + item.attempt + " got another answer than its own");
         if (item.is_idempotent)
--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -3,7 +3,6 @@
 
 #include "child_process.hpp"
 #include "fault_proxy.hpp"
-
 #include <eelgrassrail/http/client.hpp>
 
 #include <memory>
--- a/tests/src/session-router.cpp
+++ b/tests/src/session-router.cpp
@@ -1,17 +1,16 @@
 /// The router, the adapter and stand-ins of store and workers, in one process on loopback.
 #include "store_standin.hpp"
 #include "worker_standin.hpp"
-
 #include <eelgrassrail/peers/codec.hpp>
 #include <eelgrassrail/router/router_process.hpp>
-#include <eelgrassrail_platform/store_client.hpp>
-#include <eelgrassrail_platform/wire_names.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <eelgrassrail_platform/store_client.hpp>
+#include <eelgrassrail_platform/wire_names.hpp>
 #include <memory>
 #include <set>
 
--- a/tests/src/unit-keys.cpp
+++ b/tests/src/unit-keys.cpp
@@ -1,6 +1,5 @@
 /// Key maps, loads, the balancer, and who may hold which keys.
 #include "support.hpp"
-
 #include <eelgrassrail/grants/claim_policy.hpp>
 #include <eelgrassrail/grants/grant_book.hpp>
 #include <eelgrassrail/grants/key_balancer.hpp>
@@ -294,8 +293,7 @@
     {
         key_map map;
         map.paint({0, key_count - 1, life("new"), false, life("old"), {}});
-        CPPUNIT_ASSERT(
-            plan_key_moves(map, key_load(start_time), workers_of({10, 10}), {}).empty());
+        CPPUNIT_ASSERT(plan_key_moves(map, key_load(start_time), workers_of({10, 10}), {}).empty());
     }
 
     void a_new_empty_worker_gets_keys()
@@ -343,7 +341,8 @@
         CPPUNIT_ASSERT(should_claim(evidence, start_time + coordinator_silence));
         evidence.rank = 2;
         CPPUNIT_ASSERT(!should_claim(evidence, start_time + coordinator_silence + claim_stagger));
-        CPPUNIT_ASSERT(should_claim(evidence, start_time + coordinator_silence + 2 * claim_stagger));
+        CPPUNIT_ASSERT(
+            should_claim(evidence, start_time + coordinator_silence + 2 * claim_stagger));
     }
 
     void a_process_claims_back_its_own_address()
--- a/tests/src/unit-platform.cpp
+++ b/tests/src/unit-platform.cpp
@@ -1,10 +1,10 @@
 /// The adapter's documents: what is read, and what is refused with a clear error.
 #include <eelgrassrail/core/exception.hpp>
-#include <eelgrassrail_platform/decode.hpp>
-#include <eelgrassrail_platform/wire_names.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <eelgrassrail_platform/decode.hpp>
+#include <eelgrassrail_platform/wire_names.hpp>
 #include <random>
 
 using namespace eelgrassrail;
@@ -118,13 +118,14 @@
 
     void foreign_entries_are_refused()
     {
-        for (const auto& text :
-             {without(entry_text, R"("address":"10.0.0.1:80",)"),
-              without(entry_text, R"(,"born":1700000000000)"),
-              without(entry_text, R"("state":"ready",)"), std::string("{}"), std::string("\xff\xfe"),
-              std::string(R"({"service":5})")})
-            CPPUNIT_ASSERT_EQUAL(303,
-                                 error_of([&] { return platform::decode_worker({1, "x", text}); }));
+        for (const auto& text : {without(entry_text, R"("address":"10.0.0.1:80",)"),
+                                 without(entry_text, R"(,"born":1700000000000)"),
+                                 without(entry_text, R"("state":"ready",)"), std::string("{}"),
+                                 std::string("\xff\xfe"), std::string(R"({"service":5})")})
+            CPPUNIT_ASSERT_EQUAL(303, error_of(
+                                          [&] {
+                                              return platform::decode_worker({1, "x", text});
+                                          }));
     }
 
     void records_are_read()
@@ -145,8 +146,8 @@
         for (std::size_t length = 0; length < whole.size(); ++length)
             if (length != 16) // two numbers and no record are a page without news
                 CPPUNIT_ASSERT_EQUAL(
-                    304, error_of([&]
-                                  { return platform::decode_records(whole.substr(0, length), 0); }));
+                    304,
+                    error_of([&] { return platform::decode_records(whole.substr(0, length), 0); }));
     }
 
     void newest_records_are_read()
--- a/tests/src/unit-router_state.cpp
+++ b/tests/src/unit-router_state.cpp
@@ -1,15 +1,15 @@
-/// The beliefs of a process: pushes, copies and records in every order; what replies of workers say.
+/// The beliefs of a process: pushes, copies and records in every order; what replies of workers
+/// say.
+#include "../../src/router/request_fields.hpp"
 #include "support.hpp"
-
 #include <eelgrassrail/router/router_state.hpp>
-#include <eelgrassrail_platform/decode.hpp>
-#include <eelgrassrail_platform/wire_names.hpp>
-
-#include "../../src/router/request_fields.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <eelgrassrail_platform/decode.hpp>
+#include <eelgrassrail_platform/wire_names.hpp>
+
 using namespace eelgrassrail;
 using namespace eelgrassrail::test;
 
@@ -227,8 +227,7 @@
         CPPUNIT_ASSERT(kind(200, {own, sign}) == reply_kind::answer);
         CPPUNIT_ASSERT(kind(200, {own}) == reply_kind::invalid);
         CPPUNIT_ASSERT(kind(200, {other, sign}) == reply_kind::invalid);
-        CPPUNIT_ASSERT(kind(200, {own, sign, {"Content-Encoding", "gzip"}}) ==
-                       reply_kind::invalid);
+        CPPUNIT_ASSERT(kind(200, {own, sign, {"Content-Encoding", "gzip"}}) == reply_kind::invalid);
         CPPUNIT_ASSERT(kind(500, {own, sign}) == reply_kind::answer);
         CPPUNIT_ASSERT(kind(503, {{names.not_executed, "1"}}) == reply_kind::not_executed);
         CPPUNIT_ASSERT(kind(421, {}) == reply_kind::wrong_owner);
--- a/tests/src/unit-routing.cpp
+++ b/tests/src/unit-routing.cpp
@@ -1,6 +1,5 @@
 /// Routes, splits, choice of worker, admission, and the registry of workers.
 #include "support.hpp"
-
 #include <eelgrassrail/registry/worker_registry.hpp>
 #include <eelgrassrail/routing/admission.hpp>
 #include <eelgrassrail/routing/route_table.hpp>
@@ -75,8 +74,8 @@
         {
             std::uint32_t in_flight = 0;
             for (const double until : busy_until[w])
-                in_flight += static_cast<std::uint32_t>(
-                        std::ceil(std::max(0.0, until - now) / runs[w]));
+                in_flight +=
+                    static_cast<std::uint32_t>(std::ceil(std::max(0.0, until - now) / runs[w]));
             options.push_back(option(in_flight, runs[w]));
         }
         const std::size_t chosen = choose(options, random);
@@ -115,7 +114,8 @@
     void the_longest_prefix_of_the_host_wins()
     {
         route_table table;
-        table.routes = {make_route("h", "/a/"), make_route("h", "/a/b/"), make_route("i", "/a/b/c/")};
+        table.routes = {make_route("h", "/a/"), make_route("h", "/a/b/"),
+                        make_route("i", "/a/b/c/")};
         CPPUNIT_ASSERT_EQUAL(std::string("/a/b/"), table.find("h", "/a/b/c/d")->path_prefix);
         CPPUNIT_ASSERT_EQUAL(std::string("/a/"), table.find("h", "/a/bc")->path_prefix);
     }
@@ -192,8 +192,8 @@
         const auto ours = mean_time([&](const auto& options, auto& random)
                                     { return choose_worker(options, 0, draw(random))->index; });
         std::size_t turn = 0;
-        const auto round_robin = mean_time([&](const auto& options, auto&)
-                                           { return turn++ % options.size(); });
+        const auto round_robin =
+            mean_time([&](const auto& options, auto&) { return turn++ % options.size(); });
         const auto two_choices = mean_time(
             [&](const auto& options, auto& random)
             {
--- a/tests/standins/store_standin.cpp
+++ b/tests/standins/store_standin.cpp
@@ -136,11 +136,10 @@
     const auto& state = m_topics[query_value(call.target, "topic").value_or("")];
     boost::json::array items;
     for (const auto& [key, value] : state.newest)
-        items.push_back(
-            {{"key", key}, {"value", base64(value.second)}, {"offset", value.first}});
+        items.push_back({{"key", key}, {"value", base64(value.second)}, {"offset", value.first}});
     http_reply reply;
-    reply.body = boost::json::serialize(boost::json::object{
-        {"items", items}, {"has_more", false}, {"end_offset", state.end()}});
+    reply.body = boost::json::serialize(
+        boost::json::object{{"items", items}, {"has_more", false}, {"end_offset", state.end()}});
     return reply;
 }
 
--- a/tests/standins/worker.cpp
+++ b/tests/standins/worker.cpp
@@ -1,7 +1,6 @@
 /// Program of the stand-in worker: registers itself in the store and prints each run as it begins
 /// and ends, so that the journal survives the process.
 #include "worker_standin.hpp"
-
 #include <eelgrassrail/http/client.hpp>
 
 #include <boost/asio/co_spawn.hpp>
--- a/tests/standins/worker_standin.cpp
+++ b/tests/standins/worker_standin.cpp
@@ -57,17 +57,16 @@
 
 std::string worker_standin::entry(bool is_leaving) const
 {
-    return boost::json::serialize(boost::json::object{{"service", m_settings.service},
-                                                      {"address", m_settings.advertised.empty()
-                                                                      ? m_settings.address
-                                                                      : m_settings.advertised},
-                                                      {"zone", m_settings.zone},
-                                                      {"version", "v1"},
-                                                      {"slots", m_settings.slots},
-                                                      {"state", is_leaving ? "draining" : "ready"},
-                                                      {"cold_remaining", "0ms"},
-                                                      {"seq", 1},
-                                                      {"born", m_settings.born_ms}});
+    return boost::json::serialize(boost::json::object{
+        {"service", m_settings.service},
+        {"address", m_settings.advertised.empty() ? m_settings.address : m_settings.advertised},
+        {"zone", m_settings.zone},
+        {"version", "v1"},
+        {"slots", m_settings.slots},
+        {"state", is_leaving ? "draining" : "ready"},
+        {"cold_remaining", "0ms"},
+        {"seq", 1},
+        {"born", m_settings.born_ms}});
 }
 
 http_reply worker_standin::not_executed(unsigned status) const
@@ -121,7 +120,9 @@
 {
     const auto document = boost::json::parse(call.body);
     const auto& body = document.as_object();
-    const auto [first, last] = range_of(body);
+    const auto range = range_of(body);
+    const auto first = range.first;
+    const auto last = range.second;
     const auto fence = body.at("fence").to_number<std::uint64_t>();
     for (auto key = first; key <= last; ++key)
         m_keys[key] = {std::max(m_keys[key].fence, fence), {}};
@@ -140,8 +141,7 @@
     if (!attempt)
         co_return not_executed(400);
     const auto key_text = find_field(call.fields, "Eelgrassrail-Shard-Key");
-    const auto key =
-        key_text ? static_cast<std::uint32_t>(std::stoul(std::string(*key_text))) : 0;
+    const auto key = key_text ? static_cast<std::uint32_t>(std::stoul(std::string(*key_text))) : 0;
     if (m_waiting >= queue)
         co_return not_executed(503);
     ++m_waiting;
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -26,9 +26,13 @@
   ! grep -qE 'error:|warning:' build/tidy.log
 }
 pure_parts_have_no_sockets() {
-  ! grep -rlE '#include <boost/(asio|beast)|#include <eelgrassrail/(http|peers|entry|platform)/' \
-    include/eelgrassrail/{core,ownership,tickets,requests,balance} \
-    src/{core,ownership,tickets,requests,balance}
+  ! grep -rlE '#include <boost/(asio|beast)|#include <eelgrassrail/(http|peers|entry|log|router)/' \
+    include/eelgrassrail/{core,ownership,tickets,requests,balance,routing,registry,grants} \
+    src/{core,ownership,tickets,requests,balance,routing,registry,grants}
+}
+names_stay_in_platform() {
+  ! grep -rnE 'Eelgrassrail-(Attempt|Deadline|Expect|Server-Sig|Not-Exec|Shard|Handover)|EELGRASSRAIL_BOOT|/api/(log-|grant|release)' \
+    include src
 }
 run_suite() {
   local folder=$1 out=$1/tests.log
@@ -51,8 +55,11 @@
   tools/setup.sh build || { echo "0 passed, 1 failed"; exit 1; }
   check "format" formatted
   check "the decision logic includes no sockets" pure_parts_have_no_sockets
+  check "nothing outside platform/ knows the platform's names" names_stay_in_platform
   check "lint" linted
   run_suite build
+  check "fault soak, two seeds" build/soak --first_seed=1 --seeds=2
+  check "fault soak, seeds that failed once" build/soak --seed_file=tests/soak/seeds.txt --first_port=23000
   check "smoke run of the Ice Authority" build/run_local --once --bin=build --folder=build/run-ice
   check "smoke run of the Records Division" build/run_local --once --bin=build --folder=build/run-ride --deployment=ride
 fi
