--- a/src/programs/eelgrassraild.cpp
+++ b/src/programs/eelgrassraild.cpp
@@ -3,12 +3,11 @@
 #include <eelgrassrail/entry/entry_process.hpp>
 #include <eelgrassrail/observe/log.hpp>
 #include <eelgrassrail/settings/flags.hpp>
+#include <eelgrassrail/settings/run_program.hpp>
 
 #include <boost/asio/signal_set.hpp>
 #include <gflags/gflags.h>
 
-#include <iostream>
-
 DEFINE_string(vm, "", "name of this VM in the platform's list");
 DEFINE_string(zone, "", "availability zone of this VM");
 DEFINE_string(http_address, "", "IP:PORT for callers, /healthz and /readyz");
@@ -101,22 +100,5 @@
 
 int main(int argc, char** argv)
 {
-    constexpr int settings_exit = 2;
-    gflags::SetUsageMessage("the entry daemon of eelgrassrail; every flag can also be set with an "
-                            "environment variable EELGRASSRAIL_FLAG");
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
-    try
-    {
-        return run();
-    }
-    catch (const settings_error& e)
-    {
-        std::cerr << e.what() << '\n';
-        return settings_exit;
-    }
-    catch (const std::exception& e)
-    {
-        std::cerr << "entry: can not start: " << e.what() << '\n';
-        return 1;
-    }
+    return eelgrassrail::run_program(argc, argv, "the entry daemon of eelgrassrail", run);
 }
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -1,6 +1,8 @@
 /// Load, faults and checks of one seed.
 #include "soak_world.hpp"
 
+#include "log_record_bytes.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -28,16 +30,6 @@
     return "127.0.0.1:" + std::to_string(port);
 }
 
-std::string record(const std::string& key, const std::string& value)
-{
-    const auto length = 1 + key.size() + value.size();
-    std::string text;
-    for (int shift = 24; shift >= 0; shift -= 8)
-        text.push_back(static_cast<char>(length >> static_cast<unsigned>(shift)));
-    text.push_back(static_cast<char>(key.size()));
-    return text + key + value;
-}
-
 std::string rule(const std::string& name, bool is_idempotent, const std::string& service)
 {
     return R"({"name":")" + name + R"(","kind":")" + (is_idempotent ? "safe" : "unsafe") +
@@ -199,7 +191,7 @@
     http_call call;
     call.method = "POST";
     call.target = "/api/log-append?topic=keyed.op&part=0";
-    call.body = record("config", state_text(m_state_version++));
+    call.body = test::log_record_bytes("config", state_text(m_state_version++));
     co_await m_store_client->exchange(std::move(call), boot_clock::now() + millis(1'000));
 }
 
--- a/tests/src/main.cpp
+++ b/tests/src/main.cpp
@@ -1,5 +1,7 @@
 /// Runs all CppUnit tests and prints their counts. Tests that KNOWN-RED.txt names are run and
 /// counted by themselves.
+#include <eelgrassrail/observe/log.hpp>
+
 #include <cppunit/TestFailure.h>
 #include <cppunit/TestResult.h>
 #include <cppunit/TestResultCollector.h>
@@ -40,6 +42,7 @@
 
 int main(int argc, char** argv)
 {
+    eelgrassrail::start_logging("error");
     CppUnit::TestResult controller;
     CppUnit::TestResultCollector collector;
     progress listener;
--- a/tests/standins/worker.cpp
+++ b/tests/standins/worker.cpp
@@ -1,5 +1,6 @@
 /// Program of the stand-in worker: registers itself in the store and prints each run as it begins
 /// and ends, so that the journal survives the process.
+#include "log_record_bytes.hpp"
 #include "worker_standin.hpp"
 #include <eelgrassrail/http/client.hpp>
 
@@ -25,16 +26,6 @@
 
 using namespace eelgrassrail;
 
-std::string record(const std::string& key, const std::string& value)
-{
-    const auto length = 1 + key.size() + value.size();
-    std::string text;
-    for (int shift = 24; shift >= 0; shift -= 8)
-        text.push_back(static_cast<char>(length >> static_cast<unsigned>(shift)));
-    text.push_back(static_cast<char>(key.size()));
-    return text + key + value;
-}
-
 boost::asio::awaitable<void> beat(boost::asio::io_context& context, std::string entry)
 {
     constexpr millis interval{300};
@@ -45,7 +36,7 @@
         http_call call;
         call.method = "POST";
         call.target = "/api/log-append?topic=keyed.servers&part=0";
-        call.body = record(FLAGS_id, entry);
+        call.body = test::log_record_bytes(FLAGS_id, entry);
         co_await client.exchange(std::move(call), boot_clock::now() + timeout);
         boost::asio::steady_timer timer(context, interval);
         co_await timer.async_wait(boost::asio::use_awaitable);
