Ask the caller's connection right before a request is sent

A VM with 0.1 cores reads the request and the close late and sends the request in between. Change: the watch asks the socket itself; one peek for each request. Test: unit_listener, two of four cases red without the line (a close and a reset before the loop turns).

--- a/include/eelgrassrail/http/caller_watch.hpp
+++ b/include/eelgrassrail/http/caller_watch.hpp
@@ -11,8 +11,17 @@
 class caller_watch
 {
   public:
-    /// @brief Whether the caller has closed its connection.
-    [[nodiscard]] bool is_gone() const noexcept { return m_gone; }
+    /// @brief Whether the caller has closed its connection. The connection itself is asked, as its
+    /// task may not have had its turn since the close arrived.
+    [[nodiscard]] bool is_gone()
+    {
+        if (!m_gone && m_is_closed && m_is_closed())
+            set_gone();
+        return m_gone;
+    }
+
+    /// @brief Sets how the connection is asked; nothing once the connection may have ended.
+    void ask_connection(std::function<bool()> is_closed) { m_is_closed = std::move(is_closed); }
 
     /// @brief Sets what is called once when the caller closes its connection.
     void on_gone(std::function<void()> call) { m_call = std::move(call); }
@@ -29,6 +38,7 @@
   private:
     bool m_gone{};
     std::function<void()> m_call;
+    std::function<bool()> m_is_closed;
 };
 
 } // namespace eelgrassrail
--- a/src/http/listener.cpp
+++ b/src/http/listener.cpp
@@ -74,6 +74,16 @@
     return response;
 }
 
+/// Whether the peer has closed or reset the connection and left nothing to read.
+bool is_closed(asio::ip::tcp::socket& socket)
+{
+    beast::error_code ec;
+    char byte{};
+    socket.non_blocking(true, ec);
+    socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, ec);
+    return ec.failed() && ec != asio::error::would_block;
+}
+
 bool is_end_of_stream(const beast::error_code& ec)
 {
     return ec == http::error::end_of_stream || ec == beast::error::timeout ||
@@ -148,19 +158,15 @@
     const auto watch = std::make_shared<caller_watch>();
     const auto running = std::make_shared<bool>(true);
     auto& socket = stream.socket();
-    socket.async_wait(
-        asio::ip::tcp::socket::wait_read,
-        [watch, running, &socket](const beast::error_code& ec)
-        {
-            if (!*running || ec == asio::error::operation_aborted)
-                return;
-            beast::error_code peeked;
-            char byte{};
-            socket.non_blocking(true, peeked);
-            socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, peeked);
-            if (ec.failed() || (peeked.failed() && peeked != asio::error::would_block))
-                watch->set_gone();
-        });
+    watch->ask_connection([&socket] { return is_closed(socket); });
+    socket.async_wait(asio::ip::tcp::socket::wait_read,
+                      [watch, running, &socket](const beast::error_code& ec)
+                      {
+                          if (!*running || ec == asio::error::operation_aborted)
+                              return;
+                          if (ec.failed() || is_closed(socket))
+                              watch->set_gone();
+                      });
     http_reply reply;
     std::exception_ptr failure;
     try
@@ -173,6 +179,7 @@
     }
     *running = false;
     watch->on_gone({});
+    watch->ask_connection({});
     beast::error_code ec;
     socket.cancel(ec);
     if (failure)
--- /dev/null
+++ b/tests/src/unit-listener.cpp
@@ -0,0 +1,97 @@
+/// The listener's watch on callers, on loopback.
+#include <eelgrassrail/http/listener.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/write.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <thread>
+
+using namespace eelgrassrail;
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr std::string_view get_request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+/// A listener whose handler holds the only thread while a caller acts.
+class busy_listener
+{
+  public:
+    /// @param act what the caller does while the thread is held
+    /// @return whether the watch says that the caller has left
+    bool sees_gone_after(const std::function<void(asio::ip::tcp::socket&)>& act)
+    {
+        asio::io_context context;
+        std::optional<bool> seen;
+        asio::io_context callers;
+        asio::ip::tcp::socket caller(callers);
+        http_listener listener(
+            context.get_executor(), {asio::ip::make_address("127.0.0.1"), port}, {},
+            [&](http_call, std::shared_ptr<caller_watch> watch) -> asio::awaitable<http_reply>
+            {
+                act(caller);
+                std::this_thread::sleep_for(arrival);
+                seen = watch->is_gone();
+                context.stop();
+                co_return http_reply{};
+            },
+            [](bool, bool) { return http_reply{}; });
+        listener.start();
+        caller.connect({asio::ip::make_address("127.0.0.1"), port});
+        asio::write(caller, asio::buffer(get_request));
+        context.run_for(longest);
+        CPPUNIT_ASSERT(seen.has_value());
+        return *seen;
+    }
+
+  private:
+    static constexpr unsigned short port = 20'190;
+    static constexpr std::chrono::milliseconds arrival{20}; ///< of a close, on loopback
+    static constexpr std::chrono::seconds longest{5};
+};
+
+} // namespace
+
+class unit_listener : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(unit_listener);
+    CPPUNIT_TEST(a_caller_that_waits_is_there);
+    CPPUNIT_TEST(a_close_is_seen_before_the_loop_turns);
+    CPPUNIT_TEST(a_reset_is_seen_before_the_loop_turns);
+    CPPUNIT_TEST(bytes_of_a_next_request_are_no_close);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    void a_caller_that_waits_is_there()
+    {
+        CPPUNIT_ASSERT(!busy_listener().sees_gone_after([](auto&) {}));
+    }
+
+    void a_close_is_seen_before_the_loop_turns()
+    {
+        CPPUNIT_ASSERT(busy_listener().sees_gone_after([](auto& caller) { caller.close(); }));
+    }
+
+    void a_reset_is_seen_before_the_loop_turns()
+    {
+        CPPUNIT_ASSERT(busy_listener().sees_gone_after(
+            [](auto& caller)
+            {
+                caller.set_option(asio::socket_base::linger(true, 0));
+                caller.close();
+            }));
+    }
+
+    void bytes_of_a_next_request_are_no_close()
+    {
+        CPPUNIT_ASSERT(!busy_listener().sees_gone_after(
+            [](auto& caller) { asio::write(caller, asio::buffer(get_request)); }));
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(unit_listener);
