Take the better of two drawn workers, among those that admit the request

Cause: on the grown sites all entries got the same figures at the same moment and sent to the same worker until the next push (logs: eight entries lost a connection to one worker within 6 ms); and the worker that was chosen first was then asked for admission, so a request was refused while other workers were free.

--- a/include/eelgrassrail/routing/worker_choice.hpp
+++ b/include/eelgrassrail/routing/worker_choice.hpp
@@ -1,7 +1,10 @@
 /// Which worker of a service without keys gets a request.
 ///
 /// Patterns answered: workers of different speed, cold starts, workers that fail part of their
-/// requests or turn slow, and bursts in which all entries send at once.
+/// requests or turn slow, and bursts in which all entries send at once. All entries see the same
+/// figures at the same time, some hundred ms late: if each took the best worker, all of them would
+/// take the same one. So the better of two workers is taken that are drawn in proportion to their
+/// speed (power of two choices).
 #pragma once
 
 #include <eelgrassrail/core/clock.hpp>
@@ -21,7 +24,14 @@
     double run_ms{};           ///< time of one request without a queue; positive
     double failing{};          ///< share of recent requests that failed, 0 to 1
     bool is_near{};            ///< in the same availability zone
-    bool is_excluded{};        ///< it has refused this request already
+    bool is_excluded{};        ///< it has refused this request already, or would do so
+};
+
+/// Random numbers from 0 to 1 for one choice.
+struct choice_draws
+{
+    double first{};  ///< draws the first of the two workers
+    double second{}; ///< draws the other one
 };
 
 /// A chosen worker.
@@ -34,12 +44,12 @@
 /// @brief Time until a worker's answer: its run after those that wait before it.
 [[nodiscard]] double expected_ms(const worker_option& option) noexcept;
 
-/// @brief The worker with the least expected time; failures and distance count as time.
+/// @brief The better of two workers that are drawn: the one with less expected time. Failures and
+/// distance count as time, and make it less likely that a worker is drawn.
 /// @param comfort_ms expected times below this are as good as each other
-/// @param draw random number from 0 to 1 that decides between workers that are about equal
 /// @return nothing if all are excluded
 /// @complexity linear in the number of workers
-[[nodiscard]] std::optional<worker_pick> choose_worker(std::span<const worker_option> options,
-                                                       double comfort_ms, double draw);
+[[nodiscard]] std::optional<worker_pick>
+choose_worker(std::span<const worker_option> options, double comfort_ms, const choice_draws& draws);
 
 } // namespace eelgrassrail
--- a/src/router/request_choice.cpp
+++ b/src/router/request_choice.cpp
@@ -4,6 +4,7 @@
 #include <eelgrassrail/router/routed_request.hpp>
 
 #include <algorithm>
+#include <random>
 
 namespace eelgrassrail
 {
@@ -35,22 +36,29 @@
     const auto workers = m_state.workers.ready(request.service);
     std::vector<worker_option> options;
     options.reserve(workers.size());
+    double soonest_ms = 0;
     for (const auto* worker : workers)
     {
-        options.push_back(describe_worker(*worker, now));
-        options.back().is_excluded = request.refused_by.contains(worker->entry.life.id);
+        auto option = describe_worker(*worker, now);
+        option.is_excluded = request.refused_by.contains(worker->entry.life.id);
+        if (!option.is_excluded)
+        {
+            const auto decision = admit(option, terms_of(request, *worker, now));
+            option.is_excluded = !decision.is_admitted;
+            if (!decision.is_admitted)
+                soonest_ms = soonest_ms > 0 ? std::min(soonest_ms, decision.come_back_ms)
+                                            : decision.come_back_ms;
+        }
+        options.push_back(option);
     }
     std::uniform_real_distribution<double> draw(0, 1);
-    const auto best = choose_worker(options, ms(request.way->objective) * comfort, draw(m_random));
-    if (!best)
-    {
-        wait_ms = request.refused_by.empty() ? 0 : typical_ms(request.service);
-        return nullptr;
-    }
-    const auto* worker = workers[best->index];
-    const auto decision = admit(options[best->index], terms_of(request, *worker, now));
-    wait_ms = decision.come_back_ms;
-    return decision.is_admitted ? worker : nullptr;
+    const auto best = choose_worker(options, ms(request.way->objective) * comfort,
+                                    {draw(m_random), draw(m_random)});
+    if (best)
+        return workers[best->index];
+    wait_ms =
+        request.refused_by.empty() ? soonest_ms : std::max(soonest_ms, typical_ms(request.service));
+    return nullptr;
 }
 
 const known_worker* request_path::pick_owner(routed_request& request, double& wait_ms) const
