Keys that wait for a lost worker hold up no balancing; an empty worker gets small slices too

And an empty worker got nothing while no slice of the fullest one had half of its share. Change: only moves between live workers are counted; one for four workers may be on its way, 12 at least; an empty worker takes the heaviest slice if no piece fits. Tests: session_router::keys_that_wait_for_a_lost_worker_hold_up_no_others, unit_keys::an_empty_worker_gets_keys_of_many_small_slices, both red with the code before.

--- a/include/eelgrassrail/router/key_coordinator.hpp
+++ b/include/eelgrassrail/router/key_coordinator.hpp
@@ -72,6 +72,7 @@
         key_slice slice; ///< owner and previous owner
         std::uint64_t fence{};
         std::uint64_t epoch{}; ///< the move is dropped if another epoch has begun
+        bool is_balancing{};   ///< between live workers; others may wait until a hold runs out
     };
 
     boost::asio::awaitable<void> run();
@@ -131,7 +132,8 @@
     std::map<std::string, worker_record, std::less<>> m_workers; ///< by id
     std::map<std::string, key_load, std::less<>> m_loads;        ///< by service
     std::vector<std::pair<instant, crash_sight>> m_crashes;
-    std::size_t m_moving{};
+    std::size_t m_moving{};      ///< moves on their way
+    std::size_t m_balancing{};   ///< those of them that are between live workers
     std::uint64_t m_push_turn{}; ///< counts pushes
 };
 
--- a/src/grants/key_balancer.cpp
+++ b/src/grants/key_balancer.cpp
@@ -108,7 +108,8 @@
                 return true;
         if (fullest.back()->load > 0)
             return false;
-        return take_piece(*fullest.front(), *fullest.back(), fullest.back()->fair);
+        return take_piece(*fullest.front(), *fullest.back(), fullest.back()->fair) ||
+               take_heaviest_slice(*fullest.front(), *fullest.back());
     }
 
     /// Takes load off one worker.
@@ -183,6 +184,23 @@
         return it != m_slices.end() && hand_over(it, full, empty);
     }
 
+    /// An empty worker gets something also where all slices are far lighter than its share.
+    bool take_heaviest_slice(share& full, share& empty)
+    {
+        auto heaviest = m_slices.end();
+        double most = 0;
+        for (auto it = m_slices.begin(); it != m_slices.end(); ++it)
+        {
+            const double load = m_load.rate(it->first, it->last);
+            if (!it->is_ready || it->owner != full.worker->life || load > empty.fair ||
+                load <= most)
+                continue;
+            heaviest = it;
+            most = load;
+        }
+        return heaviest != m_slices.end() && hand_over(heaviest, full, empty);
+    }
+
     /// Cuts a piece of about the wanted load out of a worker's slices: the one with the fewest
     /// keys.
     std::vector<key_slice>::iterator find_piece(const worker_life& owner, double wanted)
--- a/src/router/key_moves.cpp
+++ b/src/router/key_moves.cpp
@@ -26,7 +26,11 @@
 
 /// After the last move the settled ownership is written once, for a process that starts from it.
 constexpr millis settle_time{700};
-constexpr std::size_t most_balance_moves = 12; ///< on their way at a time, of all services
+
+/// Moves between live workers on their way at a time, of all services. A zone that comes back, or
+/// workers that are added, take a share of all keys, so with more workers there are more moves.
+constexpr std::size_t least_balance_moves = 12;
+constexpr std::size_t workers_per_move = 4;
 constexpr int most_grant_tries = 8;
 
 /// A worker that has answered no grant for this time, two renewals, gets no more keys.
@@ -161,8 +165,9 @@
         auto& load = m_loads.try_emplace(terms.name, now).first->second;
         load.settle(now);
         balance_limits limits;
-        limits.moves = m_moving < most_balance_moves ? most_balance_moves - m_moving : 0;
         const auto workers = usable_workers(terms.name, now);
+        const auto most = std::max(least_balance_moves, workers.size() / workers_per_move);
+        limits.moves = m_balancing < most ? most - m_balancing : 0;
         for (const auto& planned : plan_key_moves(m_state.maps[terms.name], load, workers, limits))
         {
             key_move move;
@@ -172,6 +177,9 @@
             move.slice.owner = planned.target;
             move.slice.previous = planned.source;
             move.epoch = epoch();
+            const auto* source = m_state.workers.find(planned.source.id);
+            move.is_balancing =
+                source != nullptr && source->entry.life == planned.source && source->takes_work();
             moves.push_back(std::move(move));
         }
     }
@@ -235,11 +243,14 @@
 
 asio::awaitable<void> key_coordinator::move_keys(key_move move)
 {
+    const std::size_t balancing = move.is_balancing ? 1 : 0;
     ++m_moving;
+    m_balancing += balancing;
     const auto began = boot_clock::now();
     const auto handover = co_await free_source(move);
     const bool is_given = is_current(move) && co_await give_to_target(move, handover);
     --m_moving;
+    m_balancing -= balancing;
     if (!is_current(move))
         co_return;
     auto slice = move.slice;
--- a/tests/src/session-router.cpp
+++ b/tests/src/session-router.cpp
@@ -148,6 +148,7 @@
     CPPUNIT_TEST(a_worker_at_a_reused_address_gets_no_keys_of_the_old_one);
     CPPUNIT_TEST(a_planned_stop_answers_what_it_has_read);
     CPPUNIT_TEST(a_claim_finishes_moves_to_workers_that_are_gone);
+    CPPUNIT_TEST(keys_that_wait_for_a_lost_worker_hold_up_no_others);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -224,7 +225,48 @@
         it.run(serve_all_kinds(it));
     }
 
+    /// A zone that is cut off leaves many keys that nobody may grant until their holds have run
+    /// out.
+    void keys_that_wait_for_a_lost_worker_hold_up_no_others()
+    {
+        world it;
+        it.add_worker("k1", 1, true);
+        it.add_worker("k2", 2, true);
+        it.add_worker("p1", 3, false);
+        ownership_record record;
+        record.coordinator = {world::address(52), "z1", 7}; // an earlier life of this process
+        record.version = std::uint64_t(9) << epoch_shift;
+        constexpr std::uint32_t half = key_count / 2;
+        constexpr std::uint32_t width = 512;
+        record.paint("keys", {half, key_count - 1, {"k1", 1}, true, {}, {}});
+        for (std::uint32_t first = 0; first < half; first += width)
+            record.paint("keys", {first,
+                                  first + width - 1,
+                                  {"k1", 1},
+                                  false,
+                                  {"gone" + std::to_string(first), 1},
+                                  {}});
+        it.store.put("keyed.ownership", "map", write_message(record));
+        it.start_router();
+        it.run(serve_at_the_empty_worker(it));
+    }
+
   private:
+    /// The holds of the lost workers end after 3.8 s; the empty worker gets keys before.
+    static asio::awaitable<void> serve_at_the_empty_worker(world& it)
+    {
+        const auto until = boot_clock::now() + millis(3'000);
+        std::size_t runs = 0;
+        for (int n = 0; boot_clock::now() < until && runs == 0; ++n)
+        {
+            constexpr int half = key_count / 2;
+            const int key = half + (n * 1'024) % half;
+            co_await it.ask("/read/x", "read-" + std::to_string(n), key);
+            runs = it.workers[1]->journal().size();
+        }
+        CPPUNIT_ASSERT(runs > 0);
+    }
+
     static asio::awaitable<void> serve_all_kinds(world& it)
     {
         const bool serves = co_await it.is_serving();
--- a/tests/src/unit-keys.cpp
+++ b/tests/src/unit-keys.cpp
@@ -74,6 +74,7 @@
     CPPUNIT_TEST_SUITE(unit_keys);
     CPPUNIT_TEST(painting_agrees_with_a_list_of_all_keys);
     CPPUNIT_TEST(a_plan_for_many_slices_takes_no_time);
+    CPPUNIT_TEST(an_empty_worker_gets_keys_of_many_small_slices);
     CPPUNIT_TEST(a_new_map_has_no_owner);
     CPPUNIT_TEST(painting_splits_and_merges);
     CPPUNIT_TEST(random_painting_keeps_the_map_whole);
@@ -130,6 +131,30 @@
         CPPUNIT_ASSERT_EQUAL(key_count, next);
     }
 
+    /// After hot keys have come and gone the slices of a busy worker are small.
+    void an_empty_worker_gets_keys_of_many_small_slices()
+    {
+        key_map map;
+        constexpr std::uint32_t slices = 256;
+        constexpr std::uint32_t width = key_count / slices;
+        for (std::uint32_t n = 0; n < slices; ++n)
+        {
+            key_slice slice{n * width, (n + 1) * width - 1, {"a", 1}, true, {}, {}};
+            if (n % 2 != 0)
+                slice.owner.id = "b";
+            map.paint(slice);
+        }
+        key_load load(start_time);
+        for (std::uint32_t key = 0; key < key_count; key += 64)
+            load.add(key);
+        load.settle(start_time + millis(1'000));
+        const std::vector<key_worker> workers{
+            {{"a", 1}, 1'000.0, true}, {{"b", 1}, 1'000.0, true}, {{"c", 1}, 1'000.0, true}};
+        const auto moves = plan_key_moves(map, load, workers, {});
+        CPPUNIT_ASSERT(!moves.empty());
+        CPPUNIT_ASSERT_EQUAL(std::string("c"), moves.front().target.id);
+    }
+
     /// The coordinator paints and writes all of them between two pushes.
     void a_plan_for_many_slices_takes_no_time()
     {
