A process that starts takes the owners from the record before it hears of them

Change: at a start that is not the first of all, the ownership stream is read at once and its record taken. Ruled out: the holds (10 s, still running), reading of routes and workers (done in 50 ms). Test: session_failover::processes_that_start_again_know_the_owners_at_once, red without the change.

--- a/include/eelgrassrail/router/key_coordinator.hpp
+++ b/include/eelgrassrail/router/key_coordinator.hpp
@@ -76,6 +76,7 @@
     };
 
     boost::asio::awaitable<void> run();
+    boost::asio::awaitable<void> learn_owners();
     boost::asio::awaitable<void> follow_stream();
     boost::asio::awaitable<void> claim();
     boost::asio::awaitable<bool> write_record(ownership_record record, const char* why);
--- a/src/router/key_coordinator.cpp
+++ b/src/router/key_coordinator.cpp
@@ -86,8 +86,29 @@
     return m_state.ownership_version >> epoch_shift;
 }
 
+/// A process that starts while others run, or after all were lost, takes the owners from the record
+/// before it hears of them: the workers hold their keys meanwhile.
+asio::awaitable<void> key_coordinator::learn_owners()
+{
+    while (m_state.ownership_version == 0)
+    {
+        const auto newest = co_await m_state.calls.newest(platform_stream::ownership);
+        if (newest)
+        {
+            for (const auto& record : newest->records)
+                if (const auto value = read_message<ownership_record>(record.value))
+                    m_state.take_ownership(*value);
+            co_return;
+        }
+        co_await pause(pause_after_failure);
+    }
+}
+
 asio::awaitable<void> key_coordinator::run()
 {
+    // At the first start of all there is no record yet.
+    if (!m_state.settings.is_first_start)
+        co_await learn_owners();
     auto last_turn = boot_clock::now();
     for (;;)
     {
--- a/tests/src/session-failover.cpp
+++ b/tests/src/session-failover.cpp
@@ -1,13 +1,16 @@
 /// Several router processes on loopback, each with a thread of its own; one of them falls silent.
 #include "store_standin.hpp"
+#include <eelgrassrail/http/client.hpp>
+#include <eelgrassrail/peers/codec.hpp>
 #include <eelgrassrail/router/router_process.hpp>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <atomic>
 #include <eelgrassrail_platform/store_client.hpp>
 #include <eelgrassrail_platform/wire_names.hpp>
-
-#include <atomic>
 #include <memory>
 #include <thread>
 #include <vector>
@@ -87,19 +90,34 @@
     std::thread m_thread;
 };
 
-/// The store, and processes with falling processor time, so that the first ones coordinate.
+/// The store and the processes.
 class deployment
 {
   public:
-    explicit deployment(int processes)
+    deployment()
         : store(m_context, address(0))
     {
         store.put("keyed.op", "config",
                   R"({"version":"r1","limits":{},"listeners":[],"clusters":[]})");
+    }
+
+    void start_store()
+    {
         m_thread = std::thread([this] { m_context.run(); });
+    }
+
+    void start_router(double processor)
+    {
+        const int number = static_cast<int>(routers.size()) + 1;
+        routers.push_back(std::make_unique<router_thread>(number, processor));
+    }
+
+    /// Processes with falling processor time, so that the first ones coordinate.
+    void start_in_turn(int processes)
+    {
         for (int n = 0; n < processes; ++n)
         {
-            routers.push_back(std::make_unique<router_thread>(n + 1, 1.0 / (n + 1)));
+            start_router(1.0 / (n + 1));
             // The first one has claimed before the next one starts.
             std::this_thread::sleep_for(millis(n == 0 ? 600 : 20));
         }
@@ -131,13 +149,16 @@
 {
     CPPUNIT_TEST_SUITE(session_failover);
     CPPUNIT_TEST(a_successor_is_heard_by_all);
+    CPPUNIT_TEST(processes_that_start_again_know_the_owners_at_once);
     CPPUNIT_TEST_SUITE_END();
 
   public:
     /// Who is told of the successor need not find it by a claim of its own.
     void a_successor_is_heard_by_all()
     {
-        deployment it(5);
+        deployment it;
+        it.start_store();
+        it.start_in_turn(5);
         std::this_thread::sleep_for(millis(2'500)); // the list of processes has gone round
         std::vector<int> before;
         for (const auto& router : it.routers)
@@ -149,6 +170,48 @@
             claims += it.routers[n]->ownership_reads - before[n];
         CPPUNIT_ASSERT_MESSAGE(std::to_string(claims), claims >= 1 && claims <= 2);
     }
+
+    /// All processes were lost and come back; the workers have held their keys meanwhile. Small VMs
+    /// claim last, about a second after their start.
+    void processes_that_start_again_know_the_owners_at_once()
+    {
+        deployment it;
+        ownership_record record;
+        record.coordinator = {address(12), "z1", 7}; // an earlier life of the first process
+        record.version = std::uint64_t(9) << epoch_shift;
+        record.paint("keys", {0, key_count - 1, {"k1", 1}, true, {}, {}});
+        it.store.put("keyed.ownership", "map", write_message(record));
+        it.start_store();
+        constexpr double small_vm = 0.1; // cores
+        for (int n = 0; n < 5; ++n)
+            it.start_router(small_vm);
+        std::this_thread::sleep_for(millis(700));
+        for (int n = 1; n <= 5; ++n)
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(n),
+                                   metrics_of(n).find("key_slices 1") != std::string::npos);
+    }
+
+  private:
+    static std::string metrics_of(int number)
+    {
+        asio::io_context context;
+        http_client client(context.get_executor(), address(number * 10 + 2), 1);
+        http_call call;
+        call.method = "GET";
+        call.target = "/metrics";
+        std::string text;
+        asio::co_spawn(
+            context,
+            [&]() -> asio::awaitable<void>
+            {
+                const auto got =
+                    co_await client.exchange(std::move(call), boot_clock::now() + millis(1'000));
+                text = got.reply.body;
+            },
+            asio::detached);
+        context.run();
+        return text;
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(session_failover);
