--- a/src/router/key_moves.cpp
+++ b/src/router/key_moves.cpp
@@ -1,5 +1,4 @@
 /// Planning, moving and renewing of grants by the coordinator.
-#include "router_times.hpp"
 #include <eelgrassrail/observe/log.hpp>
 #include <eelgrassrail/router/key_coordinator.hpp>
 
