--- a/tests/src/session-failover.cpp
+++ b/tests/src/session-failover.cpp
@@ -108,7 +108,7 @@
     }
 
     /// The store answers each call with a status; 0: it serves.
-    void turn_away(unsigned status)
+    void turn_away(int status)
     {
         asio::post(m_context, [this, status] { store.faults.turn_away = status; });
     }
@@ -186,7 +186,7 @@
         it.start_store();
         it.start_in_turn(4);
         std::this_thread::sleep_for(millis(2'500));
-        constexpr unsigned unavailable = 503;
+        constexpr int unavailable = 503;
         it.turn_away(unavailable);
         std::this_thread::sleep_for(millis(2'000));
         const int before = it.routers.back()->stream_reads;
