--- /dev/null
+++ b/src/router/coordinator_record.cpp
@@ -0,0 +1,213 @@
+/// The record of ownership: learning from it, claiming the duty by it, watching and writing it.
+#include "router_times.hpp"
+#include <eelgrassrail/observe/log.hpp>
+#include <eelgrassrail/peers/codec.hpp>
+#include <eelgrassrail/router/key_coordinator.hpp>
+
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace eelgrassrail
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+/// A read of the ownership stream waits this long at the store for a record.
+constexpr millis ownership_wait{2'000};
+
+/// Without news of the stream for this time no grant is sent. A successor counts on it.
+constexpr millis duty_lease{8'000};
+
+constexpr millis pause_after_failure{300};
+
+/// Until a process that does not coordinate looks whether it does now.
+constexpr millis idle_pause{100};
+
+} // namespace
+
+/// A process that starts while others run, or after all were lost, takes the owners from the record
+/// before it hears of them: the workers hold their keys meanwhile.
+asio::awaitable<void> key_coordinator::learn_owners()
+{
+    while (m_state.ownership_version == 0)
+    {
+        const auto newest = co_await m_state.calls.newest(platform_stream::ownership);
+        if (newest)
+        {
+            for (const auto& record : newest->records)
+                if (const auto value = read_message<ownership_record>(record.value))
+                    m_state.take_ownership(*value);
+            co_return;
+        }
+        co_await pause(pause_after_failure);
+    }
+}
+
+/// Reads the end of the stream, then tries to append a record that names this process.
+asio::awaitable<void> key_coordinator::claim()
+{
+    m_next_claim = boot_clock::now() + pause_after_failure;
+    const auto version = m_state.ownership_version;
+    const auto newest = co_await m_state.calls.newest(platform_stream::ownership);
+    if (!newest)
+        co_return;
+    // What is on record is taken in place of what was heard: a push may run ahead of changes that
+    // it does not carry.
+    for (const auto& record : newest->records)
+        if (const auto value = read_message<ownership_record>(record.value))
+            m_state.adopt_record(*value);
+    m_stream_end = newest->end;
+    m_has_stream_end = true;
+    if (m_state.ownership_version > version && !(m_state.coordinator == m_state.self))
+    {
+        // There is news: another process may have the duty, and is heard soon.
+        const auto now = boot_clock::now();
+        if (m_state.coordinator.address != m_state.self.address && version != 0)
+        {
+            m_state.last_push = now;
+            co_return;
+        }
+        if (!should_claim(evidence(now), now))
+            co_return;
+    }
+    const auto before = m_state.coordinator;
+    const auto old_version = m_state.ownership_version;
+    m_state.coordinator = m_state.self;
+    m_state.ownership_version = next_epoch(old_version);
+    const auto asked = boot_clock::now();
+    const auto end = co_await m_state.calls.append_ownership(
+        write_message(m_state.make_record(m_state.maps)), m_stream_end);
+    if (end != append_end::done)
+    {
+        // If it was executed after all, the stream shows this process's address, and it claims
+        // again.
+        if (m_state.coordinator == m_state.self)
+        {
+            m_state.coordinator = before;
+            m_state.ownership_version = old_version;
+        }
+        m_has_stream_end = false;
+        log_info(log_part::ownership, std::string("claim failed end=") +
+                                          (end == append_end::lost_race ? "race" : "unknown"));
+        co_return;
+    }
+    ++m_stream_end;
+    m_written = m_state.ownership_version;
+    log_info(
+        log_part::ownership,
+        "claimed before=" + before.address + " epoch=" + std::to_string(epoch()) +
+            " heard_ms_ago=" +
+            std::to_string(std::chrono::duration_cast<millis>(asked - m_state.last_push).count()));
+    m_confirmed_at = asked;
+    if (before.address == m_state.self.address)
+        take_duty(before, m_state.started);
+    else
+        take_duty(before, boot_clock::now() + (before.address.empty() ? millis(0) : duty_lease));
+}
+
+/// The coordinator watches for a successor.
+asio::awaitable<void> key_coordinator::follow_stream()
+{
+    for (;;)
+    {
+        if (!m_is_active)
+        {
+            co_await pause(idle_pause);
+            continue;
+        }
+        const auto asked = boot_clock::now();
+        const auto from = m_stream_end;
+        const auto page =
+            co_await m_state.calls.read(platform_stream::ownership, from, ownership_wait);
+        if (!page)
+        {
+            co_await pause(pause_after_failure);
+            continue;
+        }
+        if (!m_is_active)
+            continue;
+        m_confirmed_at = std::max(m_confirmed_at, asked);
+        for (const auto& record : page->records)
+        {
+            const auto value = read_message<ownership_record>(record.value);
+            if (!value)
+                continue;
+            if (record.offset >= from)
+                m_stream_end = std::max(m_stream_end, record.offset + 1);
+            if (!(value->coordinator == m_state.self))
+            {
+                step_down("successor on record");
+                m_state.take_ownership(*value);
+                break;
+            }
+        }
+    }
+}
+
+bool key_coordinator::may_grant(instant now) const
+{
+    return m_is_active && now < m_confirmed_at + duty_lease;
+}
+
+/// Appends the whole ownership. A record of unknown fate is written again under the same condition.
+asio::awaitable<bool> key_coordinator::write_record(ownership_record record, const char* why)
+{
+    const auto text = write_message(record);
+    constexpr int most_tries = 20;
+    bool was_unknown = false;
+    const auto began = epoch();
+    // The duty may end and come back while this task waits; the record is of the epoch before then.
+    for (int n = 0; n < most_tries && m_is_active && began == epoch(); ++n)
+    {
+        const auto asked = boot_clock::now();
+        const auto at = m_stream_end;
+        const auto end = co_await m_state.calls.append_ownership(text, at);
+        if (end == append_end::done)
+        {
+            // The task that follows the stream may have met the record already.
+            m_stream_end = std::max(m_stream_end, at + 1);
+            m_written = record.version;
+            m_confirmed_at = std::max(m_confirmed_at, asked);
+            m_state.counters.count("ownership_records");
+            log_debug(log_part::ownership, std::string("record written why=") + why);
+            co_return true;
+        }
+        if (end == append_end::lost_race)
+        {
+            const auto page =
+                co_await m_state.calls.read(platform_stream::ownership, at, millis(0));
+            if (!page)
+                continue;
+            const auto first = page->records.empty()
+                                   ? std::nullopt
+                                   : read_message<ownership_record>(page->records.front().value);
+            if (was_unknown && first && first->coordinator == m_state.self &&
+                first->version == record.version)
+            {
+                m_stream_end = std::max(m_stream_end, at + 1);
+                m_written = record.version;
+                co_return true;
+            }
+            if (first && first->coordinator == m_state.self)
+            {
+                // An earlier record of this process, of unknown fate then.
+                m_stream_end = std::max(m_stream_end, at + 1);
+                continue;
+            }
+            if (began == epoch())
+                step_down("lost the race for a record");
+            if (first)
+                m_state.take_ownership(*first);
+            co_return false;
+        }
+        was_unknown = true;
+        co_await pause(pause_after_failure);
+    }
+    co_return false;
+}
+
+} // namespace eelgrassrail
--- a/tests/src/session-failover.cpp
+++ b/tests/src/session-failover.cpp
@@ -91,6 +91,55 @@
     std::thread m_thread;
 };
 
+std::string metrics_of(int number)
+{
+    asio::io_context context;
+    http_client client(context.get_executor(), address(number * 10 + 2), 1);
+    http_call call;
+    call.method = "GET";
+    call.target = "/metrics";
+    std::string text;
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void>
+        {
+            const auto got =
+                co_await client.exchange(std::move(call), boot_clock::now() + millis(1'000));
+            text = got.reply.body;
+        },
+        asio::detached);
+    context.run();
+    return text;
+}
+
+/// Whether a process shows a value.
+bool metric(int number, const std::string& name, int value)
+{
+    return metrics_of(number).find(name + " " + std::to_string(value) + "\n") != std::string::npos;
+}
+
+/// Asks until the answer is yes; no after a time that is far beyond any bound.
+bool eventually(const std::function<bool()>& ask)
+{
+    const auto until = boot_clock::now() + millis(20'000);
+    while (boot_clock::now() < until)
+    {
+        if (ask())
+            return true;
+        std::this_thread::sleep_for(millis(20));
+    }
+    return false;
+}
+
+/// Waits until the processes from `first` to `last` have heard of that many.
+bool all_know(int first, int last, int processes)
+{
+    for (int n = first; n <= last; ++n)
+        if (!eventually([&] { return metric(n, "processes_known", processes); }))
+            return false;
+    return true;
+}
+
 /// The store and the processes.
 class deployment
 {
@@ -119,15 +168,17 @@
         routers.push_back(std::make_unique<router_thread>(number, processor));
     }
 
-    /// Processes with falling processor time, so that the first ones coordinate.
+    /// Processes with falling processor time, so that the first ones coordinate. Ends when each of
+    /// them knows all others.
     void start_in_turn(int processes)
     {
         for (int n = 0; n < processes; ++n)
         {
             start_router(1.0 / (n + 1));
-            // The first one has claimed before the next one starts.
-            std::this_thread::sleep_for(millis(n == 0 ? 600 : 20));
+            if (n == 0)
+                CPPUNIT_ASSERT(eventually([] { return metric(1, "coordinates", 1); }));
         }
+        CPPUNIT_ASSERT(all_know(1, processes, processes));
     }
 
     ~deployment()
@@ -167,12 +218,12 @@
         deployment it;
         it.start_store();
         it.start_in_turn(5);
-        std::this_thread::sleep_for(millis(2'500)); // the list of processes has gone round
         std::vector<int> before;
         for (const auto& router : it.routers)
             before.push_back(router->ownership_reads);
         it.routers.front()->pause();
-        std::this_thread::sleep_for(millis(2'500));
+        // The successor's list has gone round, without the one that fell silent.
+        CPPUNIT_ASSERT(all_know(2, 5, 4));
         int claims = 0;
         for (std::size_t n = 1; n < it.routers.size(); ++n)
             claims += it.routers[n]->ownership_reads - before[n];
@@ -220,28 +271,6 @@
             CPPUNIT_ASSERT_MESSAGE(std::to_string(n),
                                    metrics_of(n).find("key_slices 1") != std::string::npos);
     }
-
-  private:
-    static std::string metrics_of(int number)
-    {
-        asio::io_context context;
-        http_client client(context.get_executor(), address(number * 10 + 2), 1);
-        http_call call;
-        call.method = "GET";
-        call.target = "/metrics";
-        std::string text;
-        asio::co_spawn(
-            context,
-            [&]() -> asio::awaitable<void>
-            {
-                const auto got =
-                    co_await client.exchange(std::move(call), boot_clock::now() + millis(1'000));
-                text = got.reply.body;
-            },
-            asio::detached);
-        context.run();
-        return text;
-    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(session_failover);
