News and reports travel through two trees of relays

Cause: the coordinator told each process itself, every 4 ms times the number of processes. At 295 that is 1.18 s between pushes, beyond the silence (1.1 s) after which each process reads the store itself: about 300 calls a second, and figures of owners and load that are older than a second.

Change: a push says to whom its receiver passes it on, so the tree needs no upkeep (after Li, Zhu, Xie, Li). Each availability zone has two relays; two trees with different relays take turns, so the next push makes good the loss of any one relay. Reports go back the way of every second push and are summed up by each relay. A process that hears nothing reports directly and is told directly. Copies come from the process that the push came from, which waits a short time for the versions that are asked for. All times follow from one interval (dissemination/news_times.hpp).

Model (unit_news, 300 processes, a relay dies): longest time until all hear a change 283 ms and 77 KB/s at the busiest process; flat push 12 ms and 1,793 KB/s; one relay a zone 363 KB/s; one tree alone 525 ms.

Ruled out: a larger constant for the silence: it moves the size at which this happens.

--- a/include/eelgrassrail/grants/claim_policy.hpp
+++ b/include/eelgrassrail/grants/claim_policy.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <eelgrassrail/core/clock.hpp>
+#include <eelgrassrail/dissemination/news_times.hpp>
 
 #include <cstddef>
 
@@ -19,7 +20,7 @@
 };
 
 /// Silence after which the coordinator is taken for lost. Four pushes fit in.
-constexpr millis coordinator_silence{1'000};
+constexpr millis coordinator_silence = 4 * push_interval;
 
 /// Time that the coordinator has to reach the log again before another process succeeds it.
 constexpr millis log_loss{300};
--- a/include/eelgrassrail/router/key_coordinator.hpp
+++ b/include/eelgrassrail/router/key_coordinator.hpp
@@ -44,11 +44,10 @@
     [[nodiscard]] bool is_active() const noexcept { return m_is_active; }
 
   private:
-    /// What is known of one reporting process.
+    /// What is known of one process that reports here, for itself and those behind it.
     struct reporter
     {
         instant last_heard{};
-        double processor{};                                          ///< cores that it may use
         std::map<std::string, std::uint32_t, std::less<>> in_flight; ///< by worker id
     };
 
@@ -95,6 +94,9 @@
     void step_down(const char* why);
     void renew_all(instant now);
     void push_news(instant now);
+    void push_soon();
+    [[nodiscard]] std::vector<news_member> living_members(instant now) const;
+    [[nodiscard]] news_member own_member() const;
     void resume_moves();
     void ask_for_copy(const entry_report& report, instant now);
     void note_exchange(const worker_entry& worker, const http_exchange& exchange, instant now);
@@ -120,6 +122,7 @@
     instant m_confirmed_at{};     ///< the stream showed no successor
     instant m_next_plan{};
     instant m_next_push{};
+    instant m_last_push{};
     instant m_next_renewal{};
     instant m_next_claim{};
     instant m_next_copy{};
@@ -128,8 +131,10 @@
     std::uint64_t m_push_base{}; ///< version before the first change in `m_changes`
     std::deque<std::pair<instant, slice_change>>
         m_changes; ///< recent, for processes that miss a push
-    std::deque<std::pair<instant, std::uint64_t>> m_revisions;   ///< of the registry at each push
-    std::map<std::string, reporter, std::less<>> m_reporters;    ///< by address
+    std::deque<std::pair<instant, std::uint64_t>> m_revisions; ///< of the registry at each push
+    std::map<std::string, reporter, std::less<>> m_reporters;  ///< by address
+    member_table m_members;
+    std::vector<news_member> m_told_members;                     ///< as pushed last
     std::map<std::string, worker_record, std::less<>> m_workers; ///< by id
     std::map<std::string, key_load, std::less<>> m_loads;        ///< by service
     std::vector<std::pair<instant, crash_sight>> m_crashes;
--- a/include/eelgrassrail/router/router_message.hpp
+++ b/include/eelgrassrail/router/router_message.hpp
@@ -1,6 +1,7 @@
 /// Messages between the processes of the router.
 #pragma once
 
+#include <eelgrassrail/dissemination/member_table.hpp>
 #include <eelgrassrail/grants/ownership_record.hpp>
 #include <eelgrassrail/registry/worker_change.hpp>
 
@@ -40,13 +41,13 @@
 };
 BOOST_DESCRIBE_STRUCT(crash_sight, (), (fingerprint, worker))
 
-/// Sent to the coordinator over UDP; it may be lost.
+/// Sent towards the coordinator over UDP; it may be lost. It sums up what the sender and those
+/// behind it have seen.
 struct entry_report
 {
     coordinator_identity sender;
-    std::uint64_t sequence{};
-    double processor{}; ///< cores that the sender may use
-    bool is_leaving{};
+    std::vector<member_sight> members; ///< the sender, and those behind it that have reported
+    coordinator_identity freshest;     ///< whom the next two fields are from
     std::uint64_t routes_version{};
     std::uint32_t age_ms{}; ///< since the platform's streams were last read to their ends
     std::vector<worker_sight> workers;
@@ -54,8 +55,7 @@
     std::vector<crash_sight> crashes;
 };
 BOOST_DESCRIBE_STRUCT(entry_report, (),
-                      (sender, sequence, processor, is_leaving, routes_version, age_ms, workers,
-                       keys, crashes))
+                      (sender, members, freshest, routes_version, age_ms, workers, keys, crashes))
 
 /// The coordinator's sum of all reports on one worker.
 struct worker_use
@@ -93,14 +93,22 @@
     std::uint32_t age_ms{}; ///< since the platform's streams were last read to their ends
     bool lacks_store{}; ///< the store does not answer the coordinator; it can renew, but not move
     std::vector<worker_use> use;
-    std::vector<std::string> peers; ///< addresses of all processes that report, in the order in
-                                    ///< which they are to claim; empty: not said
+    std::vector<news_member> members; ///< all that live, in the order in which they are to claim;
+                                      ///< empty: not said
     std::vector<crash_sight> crashes;
 };
 BOOST_DESCRIBE_STRUCT(coordinator_push, (),
                       (sender, ownership_version, ownership_base, ownership, routes_version,
                        workers_revision, workers_base, workers_end, workers, age_ms, lacks_store,
-                       use, peers, crashes))
+                       use, members, crashes))
+
+/// Goes before a push: to whom the receiver passes it on.
+struct push_route
+{
+    std::vector<std::string> receivers; ///< addresses; those that are to relay come first
+    bool gathers{};                     ///< reports go back this way
+};
+BOOST_DESCRIBE_STRUCT(push_route, (), (receivers, gathers))
 
 /// The whole state of a process, for one that starts or has missed changes.
 struct state_copy
@@ -109,12 +117,13 @@
     std::uint64_t routes_version{};
     std::string routes_text;            ///< as the platform's store holds it
     std::vector<worker_change> workers; ///< all that are known, removed ones too
+    coordinator_identity revision_of;   ///< whose registry counts the revision
     std::uint64_t workers_revision{};
     std::uint64_t workers_end{};
     std::uint32_t age_ms{};
 };
 BOOST_DESCRIBE_STRUCT(state_copy, (),
-                      (ownership, routes_version, routes_text, workers, workers_revision,
-                       workers_end, age_ms))
+                      (ownership, routes_version, routes_text, workers, revision_of,
+                       workers_revision, workers_end, age_ms))
 
 } // namespace eelgrassrail
--- a/include/eelgrassrail/router/router_process.hpp
+++ b/include/eelgrassrail/router/router_process.hpp
@@ -4,6 +4,7 @@
 #include <eelgrassrail/http/listener.hpp>
 #include <eelgrassrail/router/key_coordinator.hpp>
 #include <eelgrassrail/router/peer_link.hpp>
+#include <eelgrassrail/router/report_collector.hpp>
 #include <eelgrassrail/router/request_path.hpp>
 #include <eelgrassrail/router/router_state.hpp>
 #include <eelgrassrail/router/stream_reader.hpp>
@@ -14,6 +15,14 @@
 namespace eelgrassrail
 {
 
+/// Where reports go.
+struct report_way
+{
+    std::string to;             ///< address
+    std::size_t relay_levels{}; ///< levels of processes that report through this one
+    instant told{};             ///< when a push came from there
+};
+
 /// Puts the parts together. Everything runs on the thread of the context.
 class router_process
 {
@@ -34,11 +43,15 @@
     void begin_stop();
 
   private:
-    boost::asio::awaitable<void> report();
+    boost::asio::awaitable<void> keep_up();
+    boost::asio::awaitable<void> answer_push();
     boost::asio::awaitable<void> stop();
     boost::asio::awaitable<void> pause(millis time);
-    boost::asio::awaitable<void> fetch_copy(coordinator_identity from);
-    void take_push(const coordinator_push& push);
+    boost::asio::awaitable<void> fetch_copy(std::string from, copy_versions least);
+    void take_push(const received_push& message);
+    void take_report(entry_report report);
+    [[nodiscard]] entry_report make_report(bool is_orphan);
+    void report_directly(instant now);
     void apply_limits();
     [[nodiscard]] bool reads_streams() const;
     [[nodiscard]] http_reply readiness() const;
@@ -55,7 +68,11 @@
     http_listener m_ready;
     std::unique_ptr<http_listener> m_metrics; ///< empty: no address of its own
     std::uint64_t m_limits_version{};
-    std::uint64_t m_report_sequence{};
+    report_collector m_collector; ///< reports of the processes behind this one
+    report_way m_report_way;
+    instant m_last_report{};
+    bool m_is_reporting{};          ///< a report waits for those behind this process
+    std::uint64_t m_copies_asked{}; ///< in a row, without being up to date
 };
 
 } // namespace eelgrassrail
--- a/include/eelgrassrail/router/router_state.hpp
+++ b/include/eelgrassrail/router/router_state.hpp
@@ -47,7 +47,7 @@
     bool take_push(const coordinator_push& push, instant now);
 
     /// @brief Takes a whole copy of another process's state.
-    void take_copy(const state_copy& copy, const coordinator_identity& from, instant now);
+    void take_copy(const state_copy& copy, instant now);
 
     [[nodiscard]] state_copy make_copy(instant now) const;
     /// @brief The record of the duty as it is, with the given owners.
@@ -90,7 +90,7 @@
     instant store_lost_at{};    ///< it has not answered since then; none: it does
     std::uint64_t push_revision{};    ///< workers' revision of the coordinator that was applied
     coordinator_identity push_sender; ///< whose revisions are counted
-    std::vector<std::string> peers;   ///< addresses of all reporting processes
+    std::vector<news_member> members; ///< all processes that live, in the order of their claims
     std::map<std::string, worker_use, std::less<>> use; ///< by worker id
     bool is_leaving{};
     change_signal changed; ///< routes, workers or ownership have changed
--- a/src/router/coordinator_news.cpp
+++ b/src/router/coordinator_news.cpp
@@ -18,17 +18,17 @@
 /// Time for which changes are repeated in pushes, so that a lost datagram does no harm.
 constexpr millis repeat_time{1'000};
 
-/// A process that has not reported for this time is not told anything any more.
-constexpr millis reporter_lifetime{5'000};
+/// Requests in flight of a process that has reported nothing for this time are forgotten: it has
+/// ended, or reports through another process.
+constexpr millis reporter_lifetime{1'200};
 
-/// Part of the interval between pushes that each process adds, so that pushes to a hundred take a
-/// few hundredths of a small VM's processor.
-constexpr millis push_time_per_peer{4};
+/// The list of processes goes with each push after which it has changed, at most with every fourth
+/// one, and else with every sixteenth.
+constexpr std::uint64_t changed_members_turn = 4;
+constexpr std::uint64_t members_turn = 16;
 
-/// The list of processes goes with every fourth push, and each worker's use at least as often.
-constexpr std::uint64_t peers_turn = 4;
-
-constexpr std::uint64_t refresh_turns = 4;
+/// Pushes in which each worker's use is repeated once, as pushes may be lost.
+constexpr std::uint64_t refresh_turns = 8;
 
 /// Age of its state at which the coordinator takes over what another process has read.
 constexpr millis stale_age{700};
@@ -42,9 +42,8 @@
 
 void key_coordinator::push_news(instant now)
 {
-    // With many processes a push takes more processor time, so there are fewer.
-    m_next_push = now + std::max(push_interval, push_time_per_peer *
-                                                    static_cast<std::int64_t>(m_reporters.size()));
+    m_last_push = now;
+    m_next_push = now + push_interval;
     while (!m_changes.empty() &&
            (m_changes.front().first < now - repeat_time || m_changes.size() > most_changes))
     {
@@ -81,20 +80,18 @@
     push.age_ms = m_state.age_ms(now);
     push.lacks_store = m_state.store_lost_at != instant{};
     push.use = changed_use(++m_push_turn);
-    // Those with the most processor time come first: they are the next to claim the duty.
-    std::vector<std::pair<double, std::string>> processes;
-    for (const auto& [address, sender] : m_reporters)
-        if (address != m_state.self.address)
-            processes.emplace_back(-sender.processor, address);
-    std::ranges::sort(processes);
-    m_state.peers.assign(1, m_state.self.address);
-    for (const auto& [processor, address] : processes)
-        m_state.peers.push_back(address);
-    if (m_push_turn % peers_turn == 0)
-        push.peers = m_state.peers;
+    m_members.forget_silent(now);
+    m_state.members = living_members(now);
+    const bool is_changed = m_state.members != m_told_members;
+    if (m_push_turn % (is_changed ? changed_members_turn : members_turn) == 0)
+    {
+        push.members = m_state.members;
+        m_told_members = m_state.members;
+    }
     for (const auto& [at, crash] : m_crashes)
         push.crashes.push_back(crash);
-    m_peers.send(m_state.peers, push);
+    const auto tree = m_push_turn % 2 == 0 ? relay_choice::gathering : relay_choice::other;
+    m_peers.send(m_members.plan(tree, now), tree == relay_choice::gathering, push);
     for (const auto& item : push.use)
         m_state.use[item.id] = item;
 }
@@ -137,10 +134,11 @@
     if (!m_is_active)
         return;
     auto& sender = m_reporters[report.sender.address];
-    const bool is_new = sender.last_heard == instant{};
     sender.last_heard = now;
-    sender.processor = report.processor;
     set_in_flight(sender, report.workers);
+    for (const auto& sight : report.members)
+        if (sight.member.address != m_state.self.address && m_members.on_sight(sight, now))
+            push_soon();
     for (const auto& sight : report.workers)
     {
         auto& worker = m_workers[sight.id];
@@ -163,13 +161,27 @@
     ask_for_copy(report, now);
     for (const auto& crash : report.crashes)
         m_crashes.emplace_back(now, crash);
-    if (report.is_leaving)
-    {
-        set_in_flight(sender, {});
-        m_reporters.erase(report.sender.address);
-    }
-    else if (is_new)
-        m_next_push = now;
+}
+
+/// This process and all others that live, in the order of their claims.
+std::vector<news_member> key_coordinator::living_members(instant now) const
+{
+    std::vector<news_member> result{own_member()};
+    const auto others = m_members.living(now);
+    result.insert(result.end(), others.begin(), others.end());
+    return result;
+}
+
+news_member key_coordinator::own_member() const
+{
+    return {m_state.self.address, m_state.self.zone,
+            static_cast<float>(m_state.settings.processor)};
+}
+
+/// With the next turn, together with other changes.
+void key_coordinator::push_soon()
+{
+    m_next_push = std::min(m_next_push, m_last_push + least_push_gap);
 }
 
 /// A process that the store serves lends its state to a coordinator that is turned away.
@@ -183,8 +195,8 @@
     m_next_copy = now + push_interval;
     asio::co_spawn(
         m_executor,
-        [this, from = report.sender]() -> asio::awaitable<void>
-        { co_await m_peers.fetch_copy(from); },
+        [this, from = report.freshest.address]() -> asio::awaitable<void>
+        { co_await m_peers.fetch_copy(from, {}); },
         asio::detached);
 }
 
--- a/src/router/key_coordinator.cpp
+++ b/src/router/key_coordinator.cpp
@@ -130,12 +130,14 @@
     if (m_state.store_served_at > m_state.successor_wanted)
         result.successor_wanted = m_state.successor_wanted;
     // The list is in the order in which processes are to claim.
-    const auto own = std::ranges::find(m_state.peers, m_state.self.address);
-    if (own != m_state.peers.end())
+    const auto own =
+        std::ranges::find(m_state.members, m_state.self.address, &news_member::address);
+    if (own != m_state.members.end())
     {
-        const auto is_other = [&](const std::string& address)
-        { return address != on_record.address; };
-        result.rank = static_cast<std::size_t>(std::count_if(m_state.peers.begin(), own, is_other));
+        const auto is_other = [&](const news_member& member)
+        { return member.address != on_record.address; };
+        result.rank =
+            static_cast<std::size_t>(std::count_if(m_state.members.begin(), own, is_other));
         return result;
     }
     // A process that is not on the list draws its rank, behind those with more processor time.
@@ -162,9 +164,11 @@
     // The processes that reported to the one before are told at once; they report here from then
     // on.
     m_reporters.clear();
-    for (const auto& address : m_state.peers)
-        if (address != m_state.self.address && address != before.address)
-            m_reporters[address].last_heard = now;
+    m_members.clear();
+    for (const auto& member : m_state.members)
+        if (member.address != m_state.self.address)
+            // The one before may have ended, so it relays nothing until it is heard of.
+            m_members.add(member, member.address == before.address ? now - suspect_time : now);
     for (auto& [id, worker] : m_workers)
         worker.in_flight = 0;
     for (const auto& [service, map] : m_state.maps)
--- a/src/router/key_moves.cpp
+++ b/src/router/key_moves.cpp
@@ -143,7 +143,7 @@
             log_warning(log_part::ownership,
                         "moves dropped: the record could not be written moves=" +
                             std::to_string(moves.size()));
-        push_news(boot_clock::now());
+        push_soon();
     }
     else if (m_is_active && m_moving == 0 && m_written < m_state.ownership_version &&
              now > m_last_move + settle_time)
@@ -273,7 +273,7 @@
             std::to_string(std::chrono::duration_cast<millis>(boot_clock::now() - began).count()));
     paint(move.service, slice);
     m_last_move = boot_clock::now();
-    m_next_push = {}; // with the next turn, together with other moves that end now
+    push_soon();
 }
 
 /// Ends when the previous owner can not hold the keys any more.
--- a/src/router/peer_link.cpp
+++ b/src/router/peer_link.cpp
@@ -11,7 +11,9 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <array>
+#include <charconv>
 
 namespace eelgrassrail
 {
@@ -22,9 +24,16 @@
 {
 
 constexpr std::size_t largest_datagram = 65'507; ///< of UDP over IPv4
-constexpr millis copy_timeout{400};              ///< some round trips between zones
-constexpr millis copy_lifetime{100};             ///< for which a copy is given out again
+constexpr millis copy_timeout{800};              ///< the wait below, and the way of a large copy
+constexpr millis copy_wait{400};                 ///< for the versions that are asked for
+constexpr millis copy_poll{50};
+constexpr millis copy_lifetime{100}; ///< for which a copy is given out again
 constexpr unsigned not_found = 404;
+constexpr std::string_view copy_target = "/copy";
+
+/// Bytes of the length of a push's route, the lowest first.
+constexpr unsigned route_length_bytes = 2;
+constexpr unsigned byte_bits = 8;
 
 /// First byte of a datagram.
 enum class datagram_kind : char
@@ -42,6 +51,21 @@
     return bytes ? read_message<Message>(*bytes) : std::nullopt;
 }
 
+/// @brief The number behind a name in a target; 0 if there is none.
+std::uint64_t read_number(std::string_view target, std::string_view name)
+{
+    const auto at = target.find(name);
+    std::uint64_t number = 0;
+    if (at != std::string_view::npos)
+        std::from_chars(target.data() + at + name.size(), target.data() + target.size(), number);
+    return number;
+}
+
+copy_versions read_versions(std::string_view target)
+{
+    return {read_number(target, "ownership="), read_number(target, "routes=")};
+}
+
 http_reply malformed(bool, bool)
 {
     http_reply reply;
@@ -63,7 +87,7 @@
 }
 
 void peer_link::start(std::function<void(entry_report)> on_report,
-                      std::function<void(coordinator_push)> on_push)
+                      std::function<void(received_push)> on_push)
 {
     m_on_report = std::move(on_report);
     m_on_push = std::move(on_push);
@@ -83,12 +107,28 @@
     send_bytes(address, static_cast<char>(datagram_kind::report) + pack(write_message(message)));
 }
 
-void peer_link::send(std::span<const std::string> addresses, const coordinator_push& message)
+void peer_link::send(std::span<const relay_part<std::string>> parts, bool gathers,
+                     const coordinator_push& message)
+{
+    relay(parts, gathers, pack_push(message));
+}
+
+/// Each part gets the same packed message behind a head of its own.
+void peer_link::relay(std::span<const relay_part<std::string>> parts, bool gathers,
+                      std::string_view packed)
 {
-    const auto bytes = static_cast<char>(datagram_kind::push) + pack_push(message);
-    for (const auto& address : addresses)
-        if (address != m_state.self.address)
-            send_bytes(address, bytes);
+    for (const auto& part : parts)
+    {
+        if (part.child == m_state.self.address)
+            continue;
+        const auto route = write_message(push_route{part.behind, gathers});
+        std::string bytes(1, static_cast<char>(datagram_kind::push));
+        for (unsigned n = 0; n < route_length_bytes; ++n)
+            bytes += static_cast<char>(route.size() >> (byte_bits * n));
+        bytes += route;
+        bytes += packed;
+        send_bytes(part.child, bytes);
+    }
 }
 
 void peer_link::send_bytes(const std::string& address, const std::string& bytes)
@@ -123,24 +163,52 @@
             co_return;
         if (ec.failed() || n == 0)
             continue;
-        const std::span<const char> body(buf.data() + 1, n - 1);
-        if (buf[0] == static_cast<char>(datagram_kind::report))
-        {
-            if (auto message = unpack_message<entry_report>(body))
-                m_on_report(std::move(*message));
-            else
-                m_state.counters.count("datagrams_malformed");
-        }
-        else if (buf[0] == static_cast<char>(datagram_kind::push))
+        take_datagram(std::span(buf).first(n),
+                      from.address().to_string() + ":" + std::to_string(from.port()));
+    }
+}
+
+void peer_link::take_datagram(std::span<const char> bytes, const std::string& from)
+{
+    const auto body = bytes.subspan(1);
+    if (bytes.front() == static_cast<char>(datagram_kind::push))
+    {
+        take_push(body, from);
+        return;
+    }
+    if (bytes.front() == static_cast<char>(datagram_kind::report))
+        if (auto message = unpack_message<entry_report>(body))
         {
-            if (auto message = unpack_message<coordinator_push>(body))
-                m_on_push(std::move(*message));
-            else
-                m_state.counters.count("datagrams_malformed");
+            m_on_report(std::move(*message));
+            return;
         }
-        else
-            m_state.counters.count("datagrams_malformed");
+    m_state.counters.count("datagrams_malformed");
+}
+
+/// Passes a push on before it is read, so that it does not wait for that at each level.
+void peer_link::take_push(std::span<const char> body, const std::string& from)
+{
+    std::size_t length = 0;
+    const auto head = std::min<std::size_t>(route_length_bytes, body.size());
+    for (std::size_t n = 0; n < head; ++n)
+        length |= static_cast<std::size_t>(static_cast<unsigned char>(body[n])) << (byte_bits * n);
+    const auto rest = body.subspan(head);
+    const auto route = length <= rest.size() ? read_message<push_route>(rest.first(length))
+                                             : std::optional<push_route>();
+    if (!route)
+    {
+        m_state.counters.count("datagrams_malformed");
+        return;
     }
+    const auto packed = rest.subspan(length);
+    const auto parts =
+        divide_receivers(std::span<const std::string>(route->receivers), relay_degree);
+    relay(parts, route->gathers, {packed.data(), packed.size()});
+    if (auto message = unpack_message<coordinator_push>(packed))
+        m_on_push(
+            {std::move(*message), from, relay_levels(route->receivers.size()), route->gathers});
+    else
+        m_state.counters.count("datagrams_malformed");
 }
 
 /// Many processes that start at once ask for the same copy.
@@ -158,26 +226,44 @@
 asio::awaitable<http_reply> peer_link::serve(http_call call)
 {
     http_reply reply;
-    if (call.target == "/copy")
-        reply.body = recent_copy();
-    else if (call.target == "/metrics")
+    if (call.target.starts_with(copy_target))
+        co_return co_await serve_copy(std::move(call.target));
+    if (call.target == "/metrics")
         reply.body = m_state.counters.to_text();
     else
         reply.status = not_found;
     co_return reply;
 }
 
-asio::awaitable<bool> peer_link::fetch_copy(coordinator_identity from)
+/// A process that asks has heard of newer versions than it has; this one may be about to get them.
+asio::awaitable<http_reply> peer_link::serve_copy(std::string target)
+{
+    const auto least = read_versions(target);
+    const auto until = boot_clock::now() + copy_wait;
+    const auto is_behind = [&]
+    {
+        return m_state.ownership_version < least.ownership ||
+               (m_state.routes ? m_state.routes->version : 0) < least.routes;
+    };
+    for (auto now = boot_clock::now(); is_behind() && now < until; now = boot_clock::now())
+        co_await m_state.changed.wait(std::min<boot_clock::duration>(copy_poll, until - now));
+    http_reply reply;
+    reply.body = recent_copy();
+    co_return reply;
+}
+
+asio::awaitable<bool> peer_link::fetch_copy(std::string address, copy_versions least)
 {
-    if (from.address.empty() || from.address == m_state.self.address || m_fetching)
+    if (address.empty() || address == m_state.self.address || m_fetching)
         co_return false;
     m_fetching = true;
-    auto& client = m_clients[from.address];
+    auto& client = m_clients[address];
     if (!client)
-        client = std::make_unique<http_client>(m_executor, from.address, 1);
+        client = std::make_unique<http_client>(m_executor, address, 1);
     http_call call;
     call.method = "GET";
-    call.target = "/copy";
+    call.target = std::string(copy_target) + "?ownership=" + std::to_string(least.ownership) +
+                  "&routes=" + std::to_string(least.routes);
     auto exchange = co_await client->exchange(std::move(call), boot_clock::now() + copy_timeout);
     m_fetching = false;
     if (exchange.result != exchange_result::complete)
@@ -188,7 +274,8 @@
         m_state.counters.count("copies_malformed");
         co_return false;
     }
-    m_state.take_copy(*copy, from, boot_clock::now());
+    m_state.counters.count("copies_taken");
+    m_state.take_copy(*copy, boot_clock::now());
     co_return true;
 }
 
--- a/src/router/push_packing.cpp
+++ b/src/router/push_packing.cpp
@@ -19,7 +19,7 @@
     if (bytes.size() <= largest_push)
         return bytes;
     push.use.clear();
-    push.peers.clear();
+    push.members.clear();
     push.crashes.clear();
     return pack(write_message(push));
 }
--- /dev/null
+++ b/src/router/report_collector.cpp
@@ -0,0 +1,112 @@
+/// Sums by worker and service.
+#include <eelgrassrail/router/report_collector.hpp>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace eelgrassrail
+{
+namespace
+{
+
+/// Requests in flight of a process that has reported nothing for this time are forgotten: it has
+/// ended, or reports through another process.
+constexpr millis running_memory{1'000};
+
+/// Run times of one worker, and requests for keys of one service, that a report holds; more tell no
+/// more.
+constexpr std::size_t most_times = 32;
+constexpr std::size_t most_keys = 8'192;
+
+template <class T>
+void append(std::vector<T>& into, const std::vector<T>& from, std::size_t most)
+{
+    const auto n = std::min(from.size(), most - std::min(most, into.size()));
+    into.insert(into.end(), from.begin(), from.begin() + static_cast<std::ptrdiff_t>(n));
+}
+
+/// Both lists are sorted by worker id, and so is the result.
+void merge_workers(std::vector<worker_sight>& into, std::vector<worker_sight>&& from)
+{
+    std::ranges::sort(from, {}, &worker_sight::id);
+    std::vector<worker_sight> result;
+    result.reserve(into.size() + from.size());
+    std::ranges::merge(std::move(into), std::move(from), std::back_inserter(result), {},
+                       &worker_sight::id, &worker_sight::id);
+    into.clear();
+    for (auto& sight : result)
+    {
+        if (into.empty() || into.back().id != sight.id)
+        {
+            into.push_back(std::move(sight));
+            continue;
+        }
+        auto& sum = into.back();
+        sum.in_flight += sight.in_flight;
+        sum.answers += sight.answers;
+        sum.failures += sight.failures;
+        append(sum.times_ms, sight.times_ms, most_times);
+    }
+}
+
+} // namespace
+
+void merge_counts(entry_report& into, entry_report&& from)
+{
+    if (from.members.empty())
+        return;
+    into.members.insert(into.members.end(), from.members.begin(), from.members.end());
+    const bool is_fresher =
+        from.routes_version > into.routes_version ||
+        (from.routes_version == into.routes_version && from.age_ms < into.age_ms);
+    if (is_fresher || into.freshest.address.empty())
+    {
+        into.freshest = from.freshest;
+        into.routes_version = from.routes_version;
+        into.age_ms = from.age_ms;
+    }
+    for (auto& sight : from.workers)
+        sight.in_flight = 0;
+    merge_workers(into.workers, std::move(from.workers));
+    for (auto& seen : from.keys)
+    {
+        const auto it = std::ranges::find(into.keys, seen.service, &key_sight::service);
+        if (it == into.keys.end())
+            into.keys.push_back(std::move(seen));
+        else
+            append(it->keys, seen.keys, most_keys);
+    }
+    into.crashes.insert(into.crashes.end(), from.crashes.begin(), from.crashes.end());
+}
+
+void report_collector::take(entry_report report, instant now)
+{
+    auto& running = m_running[report.sender.address];
+    running.heard = now;
+    running.by_worker.clear();
+    for (const auto& sight : report.workers)
+        if (sight.in_flight > 0)
+            running.by_worker[sight.id] += sight.in_flight;
+    merge_counts(m_merged, std::move(report));
+}
+
+entry_report report_collector::merge_into(entry_report own, instant now)
+{
+    std::erase_if(m_running,
+                  [now](const auto& item) { return item.second.heard < now - running_memory; });
+    std::ranges::sort(own.workers, {}, &worker_sight::id);
+    std::vector<worker_sight> running;
+    for (const auto& [address, item] : m_running)
+        for (const auto& [id, n] : item.by_worker)
+        {
+            auto& sight = running.emplace_back();
+            sight.id = id;
+            sight.in_flight = n;
+        }
+    merge_counts(own, std::exchange(m_merged, {}));
+    merge_workers(own.workers, std::move(running));
+    return own;
+}
+
+} // namespace eelgrassrail
--- a/src/router/request_choice.cpp
+++ b/src/router/request_choice.cpp
@@ -84,7 +84,7 @@
     admission_terms terms;
     terms.objective_ms = ms(request.way->objective);
     terms.left_ms = ms(request.give_up - now);
-    terms.entries = m_state.peers.size();
+    terms.entries = m_state.members.size();
     if (const auto link = m_links.find(worker.entry.life.id))
         terms.own = link->in_flight();
     const auto use = m_state.use.find(worker.entry.life.id);
--- a/src/router/request_path.cpp
+++ b/src/router/request_path.cpp
@@ -131,7 +131,7 @@
 retry_budget& request_path::budget(const std::string& service)
 {
     constexpr std::size_t unknown_processes = 100;
-    const auto processes = m_state.peers.size() > 1 ? m_state.peers.size() : unknown_processes;
+    const auto processes = m_state.members.size() > 1 ? m_state.members.size() : unknown_processes;
     const double share = m_state.settings.retry_ratio * own_retry_share;
     const double capacity = std::max(1.0, m_state.settings.retry_slack * own_slack_share /
                                               static_cast<double>(processes));
@@ -307,7 +307,6 @@
 {
     entry_report report;
     report.sender = m_state.self;
-    report.is_leaving = m_state.is_leaving;
     m_links.for_each(
         [&](worker_link& link)
         {
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -1,4 +1,5 @@
 /// Start, reports, readiness and planned stop.
+#include <eelgrassrail/dissemination/news_times.hpp>
 #include <eelgrassrail/observe/log.hpp>
 #include <eelgrassrail/router/router_process.hpp>
 #include <eelgrassrail/settings/net_address.hpp>
@@ -18,10 +19,11 @@
 namespace
 {
 
-constexpr millis report_interval{200};
+/// Between two turns of upkeep, and of reports while no pushes come.
+constexpr millis upkeep_interval{200};
 
-/// Without a push for this time a process reads the streams itself. Four pushes fit in.
-constexpr millis push_silence{1'100};
+/// Between two reports of a process that hears no pushes.
+constexpr millis least_orphan_gap{400};
 
 /// At the first start of all processes each waits this long for a push before it reads the streams.
 constexpr millis first_push_wait{2'000};
@@ -97,16 +99,15 @@
 
 void router_process::start()
 {
-    m_peers.start([this](const entry_report& report)
-                  { m_coordinator.take_report(report, boot_clock::now()); },
-                  [this](const coordinator_push& push) { take_push(push); });
+    m_peers.start([this](entry_report report) { take_report(std::move(report)); },
+                  [this](const received_push& message) { take_push(message); });
     m_reader.start([this] { return reads_streams(); });
     m_coordinator.start();
     m_callers.start();
     m_ready.start();
     if (m_metrics)
         m_metrics->start();
-    asio::co_spawn(m_context, report(), asio::detached);
+    asio::co_spawn(m_context, keep_up(), asio::detached);
     log_info(log_part::entry, "started vm=" + m_state.settings.vm + " zone=" + m_state.self.zone +
                                   " born=" + std::to_string(m_state.self.born_ms));
 }
@@ -131,17 +132,85 @@
     return reply;
 }
 
-void router_process::take_push(const coordinator_push& push)
+void router_process::take_report(entry_report report)
 {
     const auto now = boot_clock::now();
-    m_path.take_crashes(push.crashes, now);
-    if (!m_state.take_push(push, now))
-        asio::co_spawn(m_context, fetch_copy(push.sender), asio::detached);
+    if (m_coordinator.is_active())
+        m_coordinator.take_report(report, now);
+    else
+        m_collector.take(std::move(report), now);
 }
 
-asio::awaitable<void> router_process::fetch_copy(coordinator_identity from)
+void router_process::take_push(const received_push& message)
 {
-    co_await m_peers.fetch_copy(from);
+    const auto now = boot_clock::now();
+    m_path.take_crashes(message.push.crashes, now);
+    if (!m_state.take_push(message.push, now))
+    {
+        // The process that it came from is near, and has it too; but it may be no further on.
+        const bool asks_relay = m_copies_asked++ % 2 == 0;
+        asio::co_spawn(m_context,
+                       fetch_copy(asks_relay ? message.from : message.push.sender.address,
+                                  {message.push.ownership_version, message.push.routes_version}),
+                       asio::detached);
+    }
+    else
+        m_copies_asked = 0;
+    if (m_coordinator.is_active() || !(message.push.sender == m_state.coordinator))
+        return;
+    if (message.gathers)
+        m_report_way = {message.from, message.relay_levels, now};
+    asio::co_spawn(m_context, answer_push(), asio::detached);
+}
+
+asio::awaitable<void> router_process::fetch_copy(std::string from, copy_versions least)
+{
+    co_await m_peers.fetch_copy(std::move(from), least);
+}
+
+/// A report goes back the way of a push, so that each relay can sum up those behind it.
+asio::awaitable<void> router_process::answer_push()
+{
+    if (m_is_reporting || boot_clock::now() < m_last_report + least_report_gap)
+        co_return;
+    m_is_reporting = true;
+    if (m_report_way.relay_levels > 0)
+        co_await pause(gather_time * static_cast<std::int64_t>(m_report_way.relay_levels));
+    m_is_reporting = false;
+    m_last_report = boot_clock::now();
+    const bool is_known = m_last_report - m_report_way.told < orphan_time;
+    m_peers.send(is_known ? m_report_way.to : m_state.coordinator.address, make_report(false));
+}
+
+/// @param is_orphan no pushes come
+entry_report router_process::make_report(bool is_orphan)
+{
+    const auto now = boot_clock::now();
+    auto message = m_path.take_report();
+    member_sight own;
+    own.member = {m_state.self.address, m_state.self.zone,
+                  static_cast<float>(m_state.settings.processor)};
+    own.is_leaving = m_state.is_leaving;
+    own.is_orphan = is_orphan;
+    message.members.push_back(own);
+    message.freshest = m_state.self;
+    message.routes_version = m_state.routes ? m_state.routes->version : 0;
+    message.age_ms = m_state.age_ms(now);
+    return m_collector.merge_into(std::move(message), now);
+}
+
+/// The coordinator takes its own report; a process that hears no pushes sends its report directly.
+void router_process::report_directly(instant now)
+{
+    if (m_coordinator.is_active())
+        m_coordinator.take_report(make_report(false), now);
+    else if (now - std::max(m_state.last_push, m_last_report) > orphan_time &&
+             !m_state.coordinator.address.empty() &&
+             m_state.coordinator.address != m_state.self.address)
+    {
+        m_last_report = now - orphan_time + least_orphan_gap;
+        m_peers.send(m_state.coordinator.address, make_report(true));
+    }
 }
 
 asio::awaitable<void> router_process::pause(millis time)
@@ -150,22 +219,13 @@
     co_await timer.async_wait(asio::use_awaitable);
 }
 
-asio::awaitable<void> router_process::report()
+asio::awaitable<void> router_process::keep_up()
 {
     for (;;)
     {
-        co_await pause(report_interval);
+        co_await pause(upkeep_interval);
         const auto now = boot_clock::now();
-        auto message = m_path.take_report();
-        message.sequence = ++m_report_sequence;
-        message.processor = m_state.settings.processor;
-        message.routes_version = m_state.routes ? m_state.routes->version : 0;
-        message.age_ms = m_state.age_ms(now);
-        if (m_coordinator.is_active())
-            m_coordinator.take_report(message, now);
-        else if (!m_state.coordinator.address.empty() &&
-                 m_state.coordinator.address != m_state.self.address)
-            m_peers.send(m_state.coordinator.address, message);
+        report_directly(now);
         apply_limits();
         set_gauges();
         m_links.close_unused(now - link_lifetime);
@@ -183,7 +243,7 @@
     counters.set("requests_in_flight", static_cast<double>(m_path.in_flight()));
     counters.set("callers_connections", static_cast<double>(m_callers.connections()));
     counters.set("coordinates", m_coordinator.is_active() ? 1.0 : 0.0);
-    counters.set("processes_known", static_cast<double>(m_state.peers.size()));
+    counters.set("processes_known", static_cast<double>(m_state.members.size()));
     std::size_t slices = 0;
     for (const auto& [service, map] : m_state.maps)
         slices += map.slices().size();
@@ -202,7 +262,7 @@
         if (terms.max_connections > 0)
             fewest = fewest == 0 ? terms.max_connections : std::min(fewest, terms.max_connections);
     constexpr std::size_t least_processes = 4;
-    const auto processes = std::max(least_processes, m_state.peers.size());
+    const auto processes = std::max(least_processes, m_state.members.size());
     if (fewest > 0)
         m_links.set_limit(std::max<std::size_t>(
             2,
--- a/src/router/router_state.cpp
+++ b/src/router/router_state.cpp
@@ -115,8 +115,8 @@
         successor_wanted = {};
     else if (successor_wanted == instant{})
         successor_wanted = now;
-    if (!push.peers.empty())
-        peers = push.peers;
+    if (!push.members.empty())
+        members = push.members;
     for (const auto& item : push.use)
         use[item.id] = item;
     bool is_whole = sender_epoch == epoch && push.ownership_base <= ownership_version;
@@ -149,7 +149,7 @@
     return is_whole;
 }
 
-void router_state::take_copy(const state_copy& copy, const coordinator_identity& from, instant now)
+void router_state::take_copy(const state_copy& copy, instant now)
 {
     take_ownership(copy.ownership);
     if (!copy.routes_text.empty() && (!routes || copy.routes_version > routes->version))
@@ -159,7 +159,7 @@
         workers.replace(copy.workers, copy.workers_end, now);
         workers_unknown = false;
     }
-    push_sender = from;
+    push_sender = copy.revision_of;
     push_revision = copy.workers_revision;
     fresh_at = std::max(fresh_at, now - millis(copy.age_ms));
     changed.notify();
@@ -172,7 +172,8 @@
     copy.routes_version = routes ? routes->version : 0;
     copy.routes_text = routes_text;
     copy.workers = workers.changes_since(0);
-    copy.workers_revision = workers.revision();
+    copy.revision_of = is_coordinator() ? self : push_sender;
+    copy.workers_revision = is_coordinator() ? workers.revision() : push_revision;
     copy.workers_end = workers.end_offset();
     copy.age_ms = age_ms(now);
     return copy;
--- /dev/null
+++ b/tests/src/unit-news.cpp
@@ -0,0 +1,281 @@
+/// News through relays: how soon all hear them, at which cost, and what the loss of relays does.
+#include "news_model.hpp"
+#include <eelgrassrail/dissemination/news_times.hpp>
+#include <eelgrassrail/grants/claim_policy.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <iostream>
+#include <numeric>
+
+using namespace eelgrassrail;
+using namespace eelgrassrail::test;
+
+namespace
+{
+
+constexpr millis bound{500}; ///< from a change to the last process that hears of it
+
+const instant start{std::chrono::hours(1)};
+
+member_sight sight_of(const std::string& address, const std::string& zone, float processor)
+{
+    return {{address, zone, processor}, false, false};
+}
+
+/// Everyone that a plan reaches, each as often as it is told.
+std::vector<std::string> reached(const std::vector<relay_part<std::string>>& parts)
+{
+    std::vector<std::string> result;
+    for (const auto& part : parts)
+    {
+        result.push_back(part.child);
+        result.insert(result.end(), part.behind.begin(), part.behind.end());
+    }
+    std::ranges::sort(result);
+    return result;
+}
+
+void print(const char* name, const news_conditions& conditions, const news_figures& figures)
+{
+    std::cout << "  " << name << " processes=" << conditions.processes
+              << " longest_ms=" << figures.longest.count() << " messages_s=" << figures.messages
+              << " busiest_bytes_s=" << figures.most_bytes << " root_sends=" << figures.root_sends
+              << "\n";
+}
+
+} // namespace
+
+class unit_news : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(unit_news);
+    CPPUNIT_TEST(each_receiver_is_told_once);
+    CPPUNIT_TEST(levels_are_counted);
+    CPPUNIT_TEST(the_strongest_of_each_zone_relay);
+    CPPUNIT_TEST(a_silent_process_relays_nothing);
+    CPPUNIT_TEST(an_orphan_is_told_directly);
+    CPPUNIT_TEST(the_two_trees_have_different_relays);
+    CPPUNIT_TEST(one_that_has_left_is_told_but_does_not_count);
+    CPPUNIT_TEST(silence_is_longer_than_the_way_at_any_size);
+    CPPUNIT_TEST(all_hear_in_time_at_any_size);
+    CPPUNIT_TEST(lost_and_late_messages);
+    CPPUNIT_TEST(any_relay_is_lost);
+    CPPUNIT_TEST(relays_freeze);
+    CPPUNIT_TEST(a_process_is_cut_off_from_its_relay_only);
+    CPPUNIT_TEST(what_other_ways_cost);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    void each_receiver_is_told_once()
+    {
+        for (const std::size_t n : {0UL, 1UL, 5UL, 6UL, 7UL, 59UL, 500UL})
+        {
+            std::vector<int> receivers(n);
+            std::iota(receivers.begin(), receivers.end(), 0);
+            std::vector<int> told;
+            const auto parts = divide_receivers(std::span<const int>(receivers), relay_degree);
+            CPPUNIT_ASSERT(parts.size() <= relay_degree);
+            for (const auto& part : parts)
+            {
+                told.push_back(part.child);
+                told.insert(told.end(), part.behind.begin(), part.behind.end());
+            }
+            std::ranges::sort(told);
+            CPPUNIT_ASSERT(told == receivers);
+        }
+    }
+
+    void levels_are_counted()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), relay_levels(0));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), relay_levels(6));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), relay_levels(7));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), relay_levels(42));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), relay_levels(43));
+    }
+
+    /// Twenty in each of two zones.
+    static member_table two_zones()
+    {
+        member_table table;
+        for (int n = 0; n < 20; ++n)
+            for (const std::string zone : {"a", "b"})
+                table.on_sight(sight_of(zone + std::to_string(n + 10), zone, n < 3 ? 0.5F : 0.1F),
+                               start);
+        return table;
+    }
+
+    void the_strongest_of_each_zone_relay()
+    {
+        const auto parts = two_zones().plan(relay_choice::gathering, start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), parts.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("a10"), parts[0].child);
+        CPPUNIT_ASSERT_EQUAL(std::string("a11"), parts[1].child);
+        CPPUNIT_ASSERT_EQUAL(std::string("b10"), parts[2].child);
+        for (const auto& part : parts)
+            for (const auto& address : part.behind)
+                CPPUNIT_ASSERT_EQUAL(part.child.front(), address.front());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(40), reached(parts).size());
+    }
+
+    void a_silent_process_relays_nothing()
+    {
+        auto table = two_zones();
+        const auto later = start + suspect_time + millis(1);
+        for (const auto& member : table.living(start))
+            if (member.address != "a10")
+                table.on_sight({member, false, false}, later);
+        const auto parts = table.plan(relay_choice::gathering, later);
+        CPPUNIT_ASSERT(
+            std::ranges::none_of(parts, [](const auto& it) { return it.child == "a10"; }));
+        // It is told all the same: it may be on its way back.
+        CPPUNIT_ASSERT_EQUAL(std::size_t(40), reached(parts).size());
+        for (const auto& part : parts)
+            for (const auto& behind :
+                 divide_receivers(std::span<const std::string>(part.behind), relay_degree))
+                CPPUNIT_ASSERT(behind.child != "a10" || behind.behind.empty());
+    }
+
+    void an_orphan_is_told_directly()
+    {
+        auto table = two_zones();
+        auto orphan = sight_of("b25", "b", 0.1F);
+        orphan.is_orphan = true;
+        table.on_sight(orphan, start);
+        const auto parts = table.plan(relay_choice::gathering, start);
+        const auto it = std::ranges::find(parts, "b25", &relay_part<std::string>::child);
+        CPPUNIT_ASSERT(it != parts.end() && it->behind.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(40), reached(parts).size());
+    }
+
+    void the_two_trees_have_different_relays()
+    {
+        const auto table = two_zones();
+        const auto one = table.plan(relay_choice::gathering, start);
+        const auto other = table.plan(relay_choice::other, start);
+        for (const auto& part : one)
+            CPPUNIT_ASSERT(std::ranges::none_of(other, [&](const auto& it)
+                                                { return it.child == part.child; }));
+        CPPUNIT_ASSERT(reached(one) == reached(other));
+    }
+
+    /// Pattern: a process is stopped and started again while the store is away; only the
+    /// coordinator can tell it the state.
+    void one_that_has_left_is_told_but_does_not_count()
+    {
+        auto table = two_zones();
+        auto leaving = sight_of("b25", "b", 0.1F);
+        leaving.is_leaving = true;
+        table.on_sight(leaving, start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(39), table.living(start).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(40),
+                             reached(table.plan(relay_choice::gathering, start)).size());
+    }
+
+    /// Pattern: a silence that is shorter than the interval between pushes makes each process take
+    /// the coordinator for lost after each push.
+    void silence_is_longer_than_the_way_at_any_size()
+    {
+        for (const std::size_t n : {12UL, 70UL, 300UL, 2'305UL})
+        {
+            const auto levels = static_cast<std::int64_t>(relay_levels(n)) + 1;
+            constexpr millis longest_step{20}; // of a push at a small VM
+            const auto way = longest_step * levels;
+            CPPUNIT_ASSERT(2 * push_interval + way < orphan_time);
+            CPPUNIT_ASSERT(2 * push_interval + way < suspect_time);
+            CPPUNIT_ASSERT(3 * push_interval + way < coordinator_silence);
+            CPPUNIT_ASSERT(coordinator_silence < push_silence);
+        }
+    }
+
+    void all_hear_in_time_at_any_size()
+    {
+        for (const std::size_t n : {12UL, 70UL, 300UL, 2'305UL})
+        {
+            news_conditions conditions;
+            conditions.processes = n;
+            conditions.zones = n > 1'000 ? 15 : 5;
+            const auto figures = news_model(conditions).run();
+            print("calm", conditions, figures);
+            CPPUNIT_ASSERT(figures.longest <= bound);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(0), figures.unknown_count);
+        }
+    }
+
+    void lost_and_late_messages()
+    {
+        for (std::uint64_t seed = 1; seed <= 10; ++seed)
+        {
+            news_conditions conditions;
+            conditions.processes = 300;
+            conditions.seed = seed;
+            conditions.lost = 0.001;
+            conditions.late = 0.01;
+            const auto figures = news_model(conditions).run();
+            CPPUNIT_ASSERT(figures.longest <= bound);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(0), figures.unknown_count);
+        }
+    }
+
+    void any_relay_is_lost()
+    {
+        for (std::size_t n = 1; n < 100; n += 3)
+        {
+            news_conditions conditions;
+            conditions.processes = 300;
+            conditions.seed = n;
+            conditions.dead = {n};
+            CPPUNIT_ASSERT(news_model(conditions).run().longest <= bound);
+        }
+    }
+
+    void relays_freeze()
+    {
+        for (std::size_t n = 1; n < 60; n += 3)
+        {
+            news_conditions conditions;
+            conditions.processes = 300;
+            conditions.seed = n;
+            conditions.frozen = {n};
+            const auto figures = news_model(conditions).run();
+            CPPUNIT_ASSERT(figures.longest <= bound);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(0), figures.unknown_count);
+        }
+    }
+
+    /// Of the two trees one goes another way.
+    void a_process_is_cut_off_from_its_relay_only()
+    {
+        news_conditions conditions;
+        conditions.processes = 300;
+        for (std::size_t n = 100; n < 120; ++n)
+            for (std::size_t zone_first = 0; zone_first < 2; ++zone_first)
+                conditions.cuts.insert({n % 5 + zone_first * 5, n});
+        const auto figures = news_model(conditions).run();
+        CPPUNIT_ASSERT(figures.longest <= bound);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), figures.unknown_count);
+    }
+
+    void what_other_ways_cost()
+    {
+        news_conditions conditions;
+        conditions.processes = 300;
+        conditions.dead = {5};
+        std::map<news_way, news_figures> all;
+        for (const auto& [way, name] :
+             {std::pair(news_way::trees, "two trees"), std::pair(news_way::flat, "flat"),
+              std::pair(news_way::one_relay, "one relay a zone"),
+              std::pair(news_way::one_tree, "one tree")})
+        {
+            conditions.way = way;
+            all[way] = news_model(conditions).run();
+            print(name, conditions, all[way]);
+        }
+        CPPUNIT_ASSERT(4 * all[news_way::trees].most_bytes < all[news_way::flat].most_bytes);
+        CPPUNIT_ASSERT(2 * all[news_way::trees].most_bytes < all[news_way::one_relay].most_bytes);
+        CPPUNIT_ASSERT(all[news_way::trees].longest < all[news_way::one_tree].longest);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(unit_news);
--- a/tests/src/unit-push_packing.cpp
+++ b/tests/src/unit-push_packing.cpp
@@ -42,8 +42,9 @@
     for (std::uint32_t n = 0; n < workers; ++n)
         push.use.push_back({random_id(random), n % 9, 200 + n % 50, 1'000});
     for (std::size_t n = 0; n < processes; ++n)
-        push.peers.push_back("10." + std::to_string(n % 15) + "." + std::to_string(n / 250) + "." +
-                             std::to_string(n % 250) + ":7000");
+        push.members.push_back({"10." + std::to_string(n % 15) + "." + std::to_string(n / 250) +
+                                    "." + std::to_string(n % 250) + ":7000",
+                                "z" + std::to_string(n % 15), 0.1F});
     return push;
 }
 
--- a/tests/src/unit-router_state.cpp
+++ b/tests/src/unit-router_state.cpp
@@ -62,7 +62,8 @@
         state.take_ownership(make_record(first_coordinator, epoch + 5, "a"));
         state_copy copy;
         copy.workers_end = 1;
-        state.take_copy(copy, first_coordinator, start_time);
+        copy.revision_of = first_coordinator;
+        state.take_copy(copy, start_time);
     }
 
     static platform_calls make_calls()
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -27,8 +27,8 @@
 }
 pure_parts_have_no_sockets() {
   ! grep -rlE '#include <boost/(asio|beast)|#include <eelgrassrail/(http|peers|entry|log|router)/' \
-    include/eelgrassrail/{core,ownership,tickets,requests,balance,routing,registry,grants} \
-    src/{core,ownership,tickets,requests,balance,routing,registry,grants}
+    include/eelgrassrail/{core,ownership,tickets,requests,balance,routing,registry,grants,dissemination} \
+    src/{core,ownership,tickets,requests,balance,routing,registry,grants,dissemination}
 }
 names_stay_in_platform() {
   ! grep -rnE 'Eelgrassrail-(Attempt|Deadline|Expect|Server-Sig|Not-Exec|Shard|Handover)|EELGRASSRAIL_BOOT|/api/(log-|grant|release)' \
