Entries that are turned away by a full worker send less often; a worker's rate needs a second

Change: routing/send_window: after the second rejection in a row an entry pauses, three times as long with each further one, 3 s at most. A rate while full is taken over a second at least: reports of many processes arrive within some ms.

--- a/include/eelgrassrail/router/request_path.hpp
+++ b/include/eelgrassrail/router/request_path.hpp
@@ -50,6 +50,7 @@
     [[nodiscard]] const known_worker* pick_owner(routed_request& request, double& wait_ms) const;
     void count_arrival(const routed_request& request);
     [[nodiscard]] instant owner_expected_by(const routed_request& request) const;
+    [[nodiscard]] double closed_for_ms(std::string_view worker, instant now) const;
     [[nodiscard]] worker_option describe_worker(const known_worker& worker, instant now) const;
     [[nodiscard]] admission_terms terms_of(const routed_request& request,
                                            const known_worker& worker, instant now) const;
--- a/include/eelgrassrail/router/worker_link.hpp
+++ b/include/eelgrassrail/router/worker_link.hpp
@@ -3,6 +3,7 @@
 
 #include <eelgrassrail/http/client.hpp>
 #include <eelgrassrail/router/router_message.hpp>
+#include <eelgrassrail/routing/send_window.hpp>
 
 #include <string>
 
@@ -40,6 +41,8 @@
 
     http_client requests;
     http_client control; ///< grants and releases do not wait for a request's connection
+    send_window window;  ///< closed while the worker turns requests away
+    bool is_checked{};   ///< a task looks whether the worker has ended
     instant last_used{};
 
   private:
--- a/src/grants/worker_speed.cpp
+++ b/src/grants/worker_speed.cpp
@@ -16,6 +16,8 @@
                               instant now) noexcept
 {
     constexpr double least_answers = 24; // fewer say little about a rate
+    // Reports of many processes arrive together, so the answers of one instant are no rate.
+    constexpr double least_ms = 1'000;
     if (in_flight < slots)
     {
         m_full_since = {};
@@ -28,9 +30,9 @@
         return;
     }
     m_full_answers += static_cast<double>(answers);
-    if (m_full_answers < least_answers)
-        return;
     const double passed_ms = std::chrono::duration<double, std::milli>(now - m_full_since).count();
+    if (m_full_answers < least_answers || passed_ms < least_ms)
+        return;
     m_full_ms = passed_ms * static_cast<double>(slots) / m_full_answers;
     m_full_since = now;
     m_full_answers = 0;
--- a/src/router/request_path.cpp
+++ b/src/router/request_path.cpp
@@ -31,6 +31,10 @@
 
 constexpr double newest_weight = 0.05;
 
+/// A connection that is reset within this time was not taken by the worker. The way there and back
+/// fits in, and the turns of a small VM.
+constexpr millis reset_at_once{50};
+
 constexpr std::size_t most_keys = 512; ///< of one report
 
 } // namespace
@@ -181,6 +185,13 @@
     const bool is_full = !finds_free_slot &&
                          (kind == reply_kind::not_executed || kind == reply_kind::lost) &&
                          now < request.give_up;
+    // A worker whose queue is long resets new connections before it reads from them.
+    const bool is_reset_at_once = (kind == reply_kind::lost || kind == reply_kind::not_sent) &&
+                                  !exchange.reused && !exchange.cancelled && took < reset_at_once;
+    if (kind == reply_kind::not_executed || is_reset_at_once)
+        link->window.on_turned_away(now, std::uniform_real_distribution<double>(0, 1)(m_random));
+    else if (kind == reply_kind::answer)
+        link->window.on_answered();
     const bool blames = kind != reply_kind::wrong_owner && !is_full && !request.watch->is_gone();
     link->on_end(is_success || !blames, is_success, is_success && finds_free_slot, took, now);
     request.last_worker = entry.life.id;
--- /dev/null
+++ b/tests/src/unit-send_window.cpp
@@ -0,0 +1,200 @@
+/// Entries that are turned away by a worker: the onset of a hot key at hundreds of them.
+#include "support.hpp"
+#include <eelgrassrail/grants/worker_speed.hpp>
+#include <eelgrassrail/routing/send_window.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <iostream>
+#include <random>
+#include <vector>
+
+using namespace eelgrassrail;
+using namespace eelgrassrail::test;
+
+namespace
+{
+
+/// How entries decide.
+enum class policy : std::uint8_t
+{
+    one_in_flight, ///< each entry has one request at the worker at most
+    equal_shares,  ///< each entry sends at its part of the worker's speed
+    window         ///< as shipped, with one request in flight
+};
+
+/// One key for which all entries ask more than its worker runs.
+struct hot_key
+{
+    policy how{policy::window};
+    double news_ms{}; ///< age of the room that the entries hear of
+    double used{};    ///< result: share of the slots' time
+    double wasted{};  ///< result: requests that were turned away, for each that was run
+};
+
+void play(hot_key& day)
+{
+    constexpr std::size_t entries = 295;
+    constexpr std::size_t slots = 3;
+    constexpr std::size_t queue = 12;
+    constexpr double run_ms = 130;
+    constexpr double demand = 0.86; // requests in a ms
+    constexpr int length_ms = 5'000;
+    constexpr double capacity = slots / run_ms;
+    constexpr int rejection_ms = 4;
+    struct entry
+    {
+        send_window window;
+        int busy_until{};
+        double credit{1.0};
+    };
+    std::mt19937 random(5);
+    std::poisson_distribution<int> arrivals(demand);
+    std::uniform_int_distribution<std::size_t> who(0, entries - 1);
+    std::uniform_real_distribution<double> draw(0, 1);
+    std::vector<entry> all(entries);
+    std::deque<double> waiting; ///< ends of the requests at the worker
+    std::vector<double> free_at(slots, 0.0);
+    double run = 0;
+    double turned_away = 0;
+    for (int now = 0; now < length_ms; ++now)
+    {
+        std::erase_if(waiting, [now](double end) { return end <= now; });
+        const double room = now < day.news_ms ? 1.0 : capacity / demand;
+        for (int n = arrivals(random); n > 0; --n)
+        {
+            auto& from = all[who(random)];
+            const auto at = start_time + millis(now);
+            from.credit = std::min(1.0, from.credit + capacity / entries);
+            if (from.busy_until > now || draw(random) > room)
+                continue;
+            if (day.how == policy::window && from.window.closed_for_ms(at) > 0)
+                continue;
+            if (day.how == policy::equal_shares && from.credit < 1.0)
+                continue;
+            from.credit -= 1.0;
+            if (waiting.size() >= slots + queue)
+            {
+                ++turned_away;
+                from.busy_until = now + rejection_ms;
+                from.window.on_turned_away(at, draw(random));
+                continue;
+            }
+            auto& slot = *std::ranges::min_element(free_at);
+            slot = std::max<double>(slot, now) + run_ms;
+            waiting.push_back(slot);
+            from.busy_until = static_cast<int>(slot);
+            from.window.on_answered();
+            ++run;
+        }
+    }
+    day.used = run * run_ms / (length_ms * slots);
+    day.wasted = turned_away / run;
+}
+
+} // namespace
+
+class unit_send_window : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(unit_send_window);
+    CPPUNIT_TEST(it_is_open_at_first);
+    CPPUNIT_TEST(one_rejection_is_chance);
+    CPPUNIT_TEST(pauses_grow_and_are_bounded);
+    CPPUNIT_TEST(an_answer_opens_it);
+    CPPUNIT_TEST(rejections_long_ago_do_not_count);
+    CPPUNIT_TEST(the_onset_of_a_hot_key);
+    CPPUNIT_TEST(answers_of_one_instant_are_no_rate);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    void it_is_open_at_first()
+    {
+        CPPUNIT_ASSERT_EQUAL(0.0, send_window().closed_for_ms(start_time));
+    }
+
+    void one_rejection_is_chance()
+    {
+        send_window window;
+        window.on_turned_away(start_time, 0.5);
+        CPPUNIT_ASSERT_EQUAL(0.0, window.closed_for_ms(start_time));
+    }
+
+    void pauses_grow_and_are_bounded()
+    {
+        send_window window;
+        double last = 0;
+        for (int n = 0; n < 10; ++n)
+        {
+            window.on_turned_away(start_time, 0.5);
+            const double now = window.closed_for_ms(start_time);
+            CPPUNIT_ASSERT(now >= last);
+            CPPUNIT_ASSERT(now <= 3'000);
+            last = now;
+        }
+        CPPUNIT_ASSERT(last > 1'000);
+        CPPUNIT_ASSERT_EQUAL(0.0, window.closed_for_ms(start_time + std::chrono::seconds(4)));
+    }
+
+    void an_answer_opens_it()
+    {
+        send_window window;
+        for (int n = 0; n < 4; ++n)
+            window.on_turned_away(start_time, 0.5);
+        CPPUNIT_ASSERT(window.closed_for_ms(start_time) > 0);
+        window.on_answered();
+        CPPUNIT_ASSERT_EQUAL(0.0, window.closed_for_ms(start_time));
+    }
+
+    void rejections_long_ago_do_not_count()
+    {
+        send_window window;
+        for (int n = 0; n < 4; ++n)
+            window.on_turned_away(start_time, 0.5);
+        const auto later = start_time + std::chrono::seconds(30);
+        window.on_turned_away(later, 0.5);
+        CPPUNIT_ASSERT_EQUAL(0.0, window.closed_for_ms(later));
+    }
+
+    void the_onset_of_a_hot_key()
+    {
+        for (const double news_ms : {250.0, 1'000.0, 5'000.0})
+        {
+            hot_key shipped{policy::window, news_ms};
+            hot_key before{policy::one_in_flight, news_ms};
+            hot_key shares{policy::equal_shares, news_ms};
+            for (auto* it : {&shipped, &before, &shares})
+                play(*it);
+            std::cout << "  news after " << news_ms << " ms: window used " << shipped.used
+                      << " wasted " << shipped.wasted << "; one in flight " << before.used << " "
+                      << before.wasted << "; equal shares " << shares.used << " " << shares.wasted
+                      << "\n";
+            CPPUNIT_ASSERT(shipped.used > 0.9 * before.used);
+            CPPUNIT_ASSERT(shipped.used > shares.used);
+            CPPUNIT_ASSERT(shipped.wasted < before.wasted);
+        }
+        // Without news at all most of what is sent in vain is left out.
+        hot_key shipped{policy::window, 5'000};
+        hot_key before{policy::one_in_flight, 5'000};
+        play(shipped);
+        play(before);
+        CPPUNIT_ASSERT(shipped.wasted < before.wasted / 4);
+    }
+
+    /// Pattern: the reports of many processes arrive within some ms. A worker with a hot key that
+    /// runs 23 requests a second was taken for one that runs 500, so the key went from one
+    /// "fastest" worker to the next.
+    void answers_of_one_instant_are_no_rate()
+    {
+        worker_speed speed;
+        auto now = start_time;
+        for (int wave = 0; wave < 20; ++wave, now += millis(250))
+            for (int n = 0; n < 30; ++n)
+                speed.on_answers(n < 6 ? 1 : 0, 40, 3, now + millis(n / 6));
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(125, speed.typical_ms(), 25); // 24 answers a second at 3 slots
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(unit_send_window);
