Bound the memory and time of answers without end

Found by a test of our own (unit_client): a body that trickles in without end kept its exchange open for the 60 s of the test, far beyond its 2 s: the timer of Beast's stream is armed anew for each read and does not fire while each read finds bytes. And fifty bodies without end at once could take 8 MB each, 400 MB on a VM with 160 MB.

Change: the time is looked at between reads; bodies beyond 64 KB share a quarter of the memory of the process; at most eight replies come before the one that counts. Such an exchange ends as invalid or lost: the worker counts as failing and the request as one that may have run.

--- a/include/eelgrassrail/http/client.hpp
+++ b/include/eelgrassrail/http/client.hpp
@@ -14,6 +14,8 @@
 namespace eelgrassrail
 {
 
+class receive_budget;
+
 /// How far an exchange came.
 enum class exchange_result : std::uint8_t
 {
@@ -74,6 +76,10 @@
     /// @brief Sets how long a connection is kept idle where the peer does not say it.
     void set_keep_time(millis keep) noexcept;
 
+    /// @brief Sets the memory that large bodies share with those of other clients; without one only
+    /// each body is bounded.
+    void set_budget(std::shared_ptr<receive_budget> budget) noexcept;
+
     /// @brief Connections that were opened so far.
     [[nodiscard]] std::uint64_t opened() const noexcept;
 
--- a/include/eelgrassrail/router/worker_links.hpp
+++ b/include/eelgrassrail/router/worker_links.hpp
@@ -16,10 +16,8 @@
 class worker_links
 {
   public:
-    explicit worker_links(boost::asio::any_io_executor executor)
-        : m_executor(std::move(executor))
-    {
-    }
+    /// @param body_memory bytes that large answers of all workers may take at a time
+    worker_links(boost::asio::any_io_executor executor, std::size_t body_memory);
 
     /// @brief The link to a worker; it is made if there is none.
     /// @return nothing if the worker's address can not be read
@@ -38,6 +36,7 @@
 
   private:
     boost::asio::any_io_executor m_executor;
+    std::shared_ptr<receive_budget> m_budget;
     std::size_t m_limit{8};
     std::map<std::string, std::shared_ptr<worker_link>, std::less<>> m_links;
 };
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,5 +1,6 @@
 /// Beast client with kept connections.
 #include <eelgrassrail/http/client.hpp>
+#include <eelgrassrail/http/receive_budget.hpp>
 #include <eelgrassrail/settings/net_address.hpp>
 
 #include <boost/asio/redirect_error.hpp>
@@ -25,6 +26,45 @@
 constexpr std::size_t response_body_limit = 8UL * 1024UL * 1024;
 constexpr millis connect_timeout{300};
 
+/// Bytes of a body that need no budget.
+constexpr std::size_t small_body = 64UL * 1024;
+
+/// Replies on one exchange before the one that counts: interim ones, and late ones of others.
+constexpr std::size_t most_other_replies = 8;
+
+/// The part of the budget that one body has taken.
+class budget_share
+{
+  public:
+    explicit budget_share(receive_budget* budget) noexcept
+        : m_budget(budget)
+    {
+    }
+    ~budget_share()
+    {
+        if (m_budget != nullptr)
+            m_budget->give_back(m_taken);
+    }
+    budget_share(const budget_share&) = delete;
+    budget_share& operator=(const budget_share&) = delete;
+
+    /// @return false if the budget does not allow a body of this size
+    [[nodiscard]] bool grow(std::size_t body)
+    {
+        const auto wanted = body > small_body ? body - small_body : 0;
+        if (m_budget == nullptr || wanted <= m_taken)
+            return true;
+        if (!m_budget->take(wanted - m_taken))
+            return false;
+        m_taken = wanted;
+        return true;
+    }
+
+  private:
+    receive_budget* m_budget;
+    std::size_t m_taken{};
+};
+
 struct connection
 {
     explicit connection(const asio::any_io_executor& executor)
@@ -123,6 +163,7 @@
     std::size_t open{};
     std::uint64_t opened{};
     millis keep_time{millis::max()};
+    std::shared_ptr<receive_budget> budget; ///< empty: none is shared
     std::vector<std::unique_ptr<connection>> idle;
     std::map<std::uint64_t, beast::tcp_stream*> running; ///< labelled exchanges
 
@@ -195,21 +236,33 @@
         if (ec.failed())
             co_return;
         const bool is_head = message.method() == http::verb::head;
-        while (!co_await read_reply(used, is_head, options, result))
-        {
-        }
+        for (std::size_t n = 0; n < most_other_replies; ++n)
+            if (co_await read_reply(used, is_head, options, result))
+                co_return;
+        result.result = exchange_result::invalid;
     }
 
     /// Reads one reply; false if it belongs to an earlier exchange and the next one is to be read.
-    static asio::awaitable<bool> read_reply(connection& used, bool is_head,
-                                            const exchange_options& options, http_exchange& result)
+    asio::awaitable<bool> read_reply(connection& used, bool is_head,
+                                     const exchange_options& options, http_exchange& result) const
     {
         beast::error_code ec;
         http::response_parser<http::string_body> parser;
         parser.body_limit(response_body_limit);
         parser.skip(is_head);
-        co_await http::async_read(used.stream, used.buf, parser,
-                                  asio::redirect_error(asio::use_awaitable, ec));
+        budget_share memory(budget.get());
+        co_await http::async_read_header(used.stream, used.buf, parser,
+                                         asio::redirect_error(asio::use_awaitable, ec));
+        while (!ec.failed() && !parser.is_done())
+        {
+            co_await http::async_read_some(used.stream, used.buf, parser,
+                                           asio::redirect_error(asio::use_awaitable, ec));
+            if (!memory.grow(parser.get().body().size()))
+                ec = http::error::body_limit;
+            // The stream's timer does not fire while each read finds bytes that have arrived.
+            else if (!ec.failed() && !parser.is_done() && boot_clock::now() >= options.until)
+                ec = beast::error::timeout;
+        }
         if (ec.failed())
         {
             if (!is_lost(ec) || parser.got_some())
@@ -292,6 +345,11 @@
     m_shared->keep_time = keep;
 }
 
+void http_client::set_budget(std::shared_ptr<receive_budget> budget) noexcept
+{
+    m_shared->budget = std::move(budget);
+}
+
 std::uint64_t http_client::opened() const noexcept
 {
     return m_shared->opened;
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -52,6 +52,15 @@
 /// Part of the connections that a worker takes which all processes together use.
 constexpr double connection_share = 0.8;
 
+/// A quarter of the memory for large answers; the rest is for connections, small answers and state.
+std::size_t body_memory(const router_settings& settings)
+{
+    constexpr std::size_t part = 4;
+    constexpr std::size_t bytes_in_mb = 1024UL * 1024;
+    constexpr std::size_t unknown_mb = 256; // if the memory of the process is not said
+    return (settings.memory_mb > 0 ? settings.memory_mb : unknown_mb) / part * bytes_in_mb;
+}
+
 http_reply malformed(bool header_too_large, bool body_too_large)
 {
     const auto kind = header_too_large ? error_kind::header_too_large
@@ -69,7 +78,7 @@
                                platform_calls calls, wire_format format)
     : m_context(context)
     , m_state(context.get_executor(), std::move(settings), std::move(calls), std::move(format))
-    , m_links(context.get_executor())
+    , m_links(context.get_executor(), body_memory(m_state.settings))
     , m_path(context.get_executor(), m_state, m_links)
     , m_peers(context.get_executor(), m_state)
     , m_reader(context.get_executor(), m_state)
--- a/src/router/worker_links.cpp
+++ b/src/router/worker_links.cpp
@@ -1,10 +1,17 @@
 /// Making and dropping of links.
+#include <eelgrassrail/http/receive_budget.hpp>
 #include <eelgrassrail/observe/log.hpp>
 #include <eelgrassrail/router/worker_links.hpp>
 
 namespace eelgrassrail
 {
 
+worker_links::worker_links(boost::asio::any_io_executor executor, std::size_t body_memory)
+    : m_executor(std::move(executor))
+    , m_budget(std::make_shared<receive_budget>(body_memory))
+{
+}
+
 std::shared_ptr<worker_link> worker_links::get(const worker_entry& worker)
 {
     auto& link = m_links[worker.life.id];
@@ -14,6 +21,7 @@
         {
             link =
                 std::make_shared<worker_link>(m_executor, worker.life.id, worker.address, m_limit);
+            link->requests.set_budget(m_budget);
         }
         catch (const std::invalid_argument& e)
         {
--- /dev/null
+++ b/tests/src/unit-client.cpp
@@ -0,0 +1,198 @@
+/// The HTTP client against servers that send what is no answer.
+#include <eelgrassrail/http/client.hpp>
+#include <eelgrassrail/http/receive_budget.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <atomic>
+#include <vector>
+
+using namespace eelgrassrail;
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace
+{
+
+constexpr std::size_t mb = 1024UL * 1024;
+
+/// Sends a beginning once and then a piece again and again, until the client closes.
+struct endless_server
+{
+    endless_server(std::string begin, std::string repeated)
+        : beginning(std::move(begin))
+        , piece(std::move(repeated))
+        , acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+    {
+        asio::co_spawn(context, accept(), asio::detached);
+    }
+
+    [[nodiscard]] std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    }
+
+    asio::awaitable<void> accept()
+    {
+        for (;;)
+        {
+            boost::system::error_code ec;
+            auto socket =
+                co_await acceptor.async_accept(asio::redirect_error(asio::use_awaitable, ec));
+            if (ec.failed())
+                co_return;
+            asio::co_spawn(context, serve(std::move(socket)), asio::detached);
+        }
+    }
+
+    asio::awaitable<void> serve(tcp::socket socket)
+    {
+        boost::system::error_code ec;
+        std::string request;
+        co_await asio::async_read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n",
+                                        asio::redirect_error(asio::use_awaitable, ec));
+        co_await asio::async_write(socket, asio::buffer(beginning),
+                                   asio::redirect_error(asio::use_awaitable, ec));
+        while (!ec.failed())
+            co_await asio::async_write(socket, asio::buffer(piece),
+                                       asio::redirect_error(asio::use_awaitable, ec));
+        ++closed;
+    }
+
+    asio::io_context context{1};
+    std::string beginning;
+    std::string piece;
+    tcp::acceptor acceptor;
+    std::size_t closed{}; ///< connections that the client has closed
+};
+
+/// Results of exchanges that run at the same time.
+struct outcome
+{
+    std::vector<http_exchange> exchanges;
+    millis longest{};
+    std::size_t peak{}; ///< of the budget
+};
+
+outcome ask(endless_server& server, std::size_t exchanges, millis time, std::size_t memory)
+{
+    auto budget = std::make_shared<receive_budget>(memory);
+    http_client client(server.context.get_executor(), server.address(), exchanges);
+    client.set_budget(budget);
+    outcome result;
+    const auto began = boot_clock::now();
+    for (std::size_t n = 0; n < exchanges; ++n)
+        asio::co_spawn(
+            server.context,
+            [&]() -> asio::awaitable<void>
+            {
+                http_call call;
+                call.method = "GET";
+                call.target = "/";
+                auto exchange = co_await client.exchange(std::move(call), began + time);
+                result.longest = std::max(
+                    result.longest, std::chrono::duration_cast<millis>(boot_clock::now() - began));
+                result.exchanges.push_back(std::move(exchange));
+                if (result.exchanges.size() == exchanges)
+                    server.context.stop();
+            },
+            asio::detached);
+    server.context.run_for(std::chrono::seconds(60));
+    result.peak = budget->peak();
+    return result;
+}
+
+const std::string filler(16UL * 1024, 'x');
+
+} // namespace
+
+class unit_client : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(unit_client);
+    CPPUNIT_TEST(a_budget_is_not_exceeded);
+    CPPUNIT_TEST(a_head_without_end);
+    CPPUNIT_TEST(a_body_without_end);
+    CPPUNIT_TEST(a_body_in_chunks_without_end);
+    CPPUNIT_TEST(a_slow_body_without_end);
+    CPPUNIT_TEST(interim_replies_without_end);
+    CPPUNIT_TEST(bytes_that_are_no_reply);
+    CPPUNIT_TEST(fifty_bodies_without_end);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr millis time{2'000};
+    static constexpr millis late{500}; ///< after the time of an exchange, on a busy machine
+
+    static void check_single(const std::string& beginning, const std::string& piece)
+    {
+        endless_server server(beginning, piece);
+        const auto seen = ask(server, 1, time, 64 * mb);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), seen.exchanges.size());
+        const auto result = seen.exchanges.front().result;
+        CPPUNIT_ASSERT(result == exchange_result::invalid || result == exchange_result::lost);
+        CPPUNIT_ASSERT(seen.longest <= time + late);
+        CPPUNIT_ASSERT(seen.exchanges.front().reply.body.empty());
+    }
+
+  public:
+    void a_budget_is_not_exceeded()
+    {
+        receive_budget budget(10);
+        CPPUNIT_ASSERT(budget.take(6));
+        CPPUNIT_ASSERT(!budget.take(5));
+        CPPUNIT_ASSERT(budget.take(4));
+        budget.give_back(6);
+        CPPUNIT_ASSERT(budget.take(5));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(10), budget.peak());
+    }
+
+    void a_head_without_end()
+    {
+        check_single("HTTP/1.1 200 OK\r\n", "Filler: " + std::string(100, 'x') + "\r\n");
+        check_single("HTTP/1.1 200 OK\r\nFiller: ", filler);
+    }
+
+    void a_body_without_end() { check_single("HTTP/1.1 200 OK\r\n\r\n", filler); }
+
+    void a_body_in_chunks_without_end()
+    {
+        check_single("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                     "4000\r\n" + filler + "\r\n");
+    }
+
+    void a_slow_body_without_end() { check_single("HTTP/1.1 200 OK\r\n\r\n", "x"); }
+
+    void interim_replies_without_end()
+    {
+        check_single("", "HTTP/1.1 100 Continue\r\n\r\n");
+        check_single("", "HTTP/1.1 102 Processing\r\nContent-Length: 0\r\n\r\n");
+    }
+
+    void bytes_that_are_no_reply() { check_single("", filler); }
+
+    /// Pattern: the workers of a service send bytes without end. A small VM has 160 MB; 8 MB for
+    /// each of fifty bodies would be 400.
+    void fifty_bodies_without_end()
+    {
+        constexpr std::size_t servers = 50;
+        constexpr std::size_t memory = 40 * mb;
+        endless_server server("HTTP/1.1 200 OK\r\n\r\n", filler);
+        const auto seen = ask(server, servers, time, memory);
+        CPPUNIT_ASSERT_EQUAL(servers, seen.exchanges.size());
+        for (const auto& exchange : seen.exchanges)
+            CPPUNIT_ASSERT(exchange.result == exchange_result::invalid ||
+                           exchange.result == exchange_result::lost);
+        CPPUNIT_ASSERT(seen.peak <= memory);
+        CPPUNIT_ASSERT(seen.longest <= time + late);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(unit_client);
