--- a/include/eelgrassrail/grants/room_control.hpp
+++ b/include/eelgrassrail/grants/room_control.hpp
@@ -34,6 +34,7 @@
   private:
     double m_correction{1.0}; ///< of the capacity; 1: the estimate is right
     double m_room{1.0};
+    unsigned m_idle_turns{}; ///< in a row, with slots that are not used
 };
 
 } // namespace eelgrassrail
--- a/include/eelgrassrail/router/request_path.hpp
+++ b/include/eelgrassrail/router/request_path.hpp
@@ -19,6 +19,7 @@
 {
 
 struct routed_request;
+struct sent_request;
 
 /// Serves callers of one process. A request is sent to one worker at a time; it goes to another one
 /// only if the first is known not to have run it, or if it is idempotent.
@@ -50,7 +51,8 @@
     [[nodiscard]] const known_worker* pick_owner(routed_request& request, double& wait_ms) const;
     void count_arrival(const routed_request& request);
     [[nodiscard]] instant owner_expected_by(const routed_request& request) const;
-    [[nodiscard]] double closed_for_ms(std::string_view worker, instant now) const;
+    [[nodiscard]] double closed_for_ms(const worker_entry& worker, instant now) const;
+    void note_end(const worker_entry& worker, worker_link& link, const sent_request& sent);
     [[nodiscard]] worker_option describe_worker(const known_worker& worker, instant now) const;
     [[nodiscard]] admission_terms terms_of(const routed_request& request,
                                            const known_worker& worker, instant now) const;
@@ -71,6 +73,7 @@
     std::map<std::string, retry_budget, std::less<>> m_budgets; ///< by service
     std::map<std::string, double, std::less<>> m_typical_ms;    ///< by service, of answers
     std::map<std::string, key_sight, std::less<>> m_keys;       ///< since the last report
+    std::map<std::string, send_window, std::less<>> m_zones;    ///< by availability zone
     std::vector<crash_sight> m_crashes;                         ///< since the last report
     std::mt19937 m_random;
     std::size_t m_in_flight{};
--- a/include/eelgrassrail/routing/send_window.hpp
+++ b/include/eelgrassrail/routing/send_window.hpp
@@ -13,10 +13,17 @@
 namespace eelgrassrail
 {
 
-/// The window of one entry to one worker. It is open until the worker turns requests away.
+/// The window of one entry to one worker, or to one availability zone. It is open until requests
+/// are turned away.
 class send_window
 {
   public:
+    /// @param by_chance requests in a row that may be turned away before the window closes
+    explicit send_window(std::size_t by_chance = 1) noexcept
+        : m_by_chance(by_chance)
+    {
+    }
+
     /// @brief The worker was full: it rejected a request, or reset its connection at once.
     /// @param draw random number from 0 to 1, so that entries do not come back together
     void on_turned_away(instant now, double draw) noexcept;
@@ -28,6 +35,7 @@
     [[nodiscard]] double closed_for_ms(instant now) const noexcept;
 
   private:
+    std::size_t m_by_chance;
     std::size_t m_in_a_row{}; ///< requests that were turned away, less for each answer
     instant m_closed_until{};
     instant m_turned_away_at{};
--- a/src/router/request_choice.cpp
+++ b/src/router/request_choice.cpp
@@ -40,7 +40,7 @@
     for (const auto* worker : workers)
     {
         auto option = describe_worker(*worker, now);
-        const double closed_ms = closed_for_ms(worker->entry.life.id, now);
+        const double closed_ms = closed_for_ms(worker->entry, now);
         option.is_excluded = request.refused_by.contains(worker->entry.life.id) || closed_ms > 0;
         if (closed_ms > 0)
             soonest_ms = soonest_ms > 0 ? std::min(soonest_ms, closed_ms) : closed_ms;
@@ -76,7 +76,7 @@
     if (worker == nullptr || !worker->takes_work() || worker->entry.life != slice.owner)
         return nullptr;
     const auto now = boot_clock::now();
-    wait_ms = closed_for_ms(worker->entry.life.id, now);
+    wait_ms = closed_for_ms(worker->entry, now);
     if (wait_ms > 0)
         return nullptr;
     const auto decision = admit(describe_worker(*worker, now), terms_of(request, *worker, now));
@@ -84,11 +84,14 @@
     return decision.is_admitted ? worker : nullptr;
 }
 
-/// For how long nothing is sent to a worker that turns requests away.
-double request_path::closed_for_ms(std::string_view worker, instant now) const
+/// For how long nothing is sent to a worker that turns requests away, or to one in a zone that can
+/// not be reached.
+double request_path::closed_for_ms(const worker_entry& worker, instant now) const
 {
-    const auto link = m_links.find(worker);
-    return link ? link->window.closed_for_ms(now) : 0;
+    const auto link = m_links.find(worker.life.id);
+    const double own = link ? link->window.closed_for_ms(now) : 0;
+    const auto zone = m_zones.find(worker.zone);
+    return zone == m_zones.end() ? own : std::max(own, zone->second.closed_for_ms(now));
 }
 
 admission_terms request_path::terms_of(const routed_request& request, const known_worker& worker,
--- a/src/router/request_fields.hpp
+++ b/src/router/request_fields.hpp
@@ -22,6 +22,15 @@
     invalid       ///< what came is no answer of the worker; it may have run the request
 };
 
+/// How one sending of a request ended.
+struct sent_request
+{
+    reply_kind end{};
+    millis took{};
+    bool is_reused{};    ///< it went over a kept connection
+    bool is_cancelled{}; ///< it was given up here before anything was written
+};
+
 /// While workers forget idle connections, a request that must not run twice goes over a connection
 /// that was used this lately, or a new one: the reset of a forgotten one looks like a lost answer.
 constexpr millis fresh_connection_time{500};
--- a/src/router/request_path.cpp
+++ b/src/router/request_path.cpp
@@ -35,6 +35,10 @@
 /// fits in, and the turns of a small VM.
 constexpr millis reset_at_once{50};
 
+/// Workers of one zone in a row that do not answer a connection. Some may have ended; with no
+/// answer from the zone in between, more than that means that the way there is cut.
+constexpr std::size_t unreached_by_chance = 5;
+
 constexpr std::size_t most_keys = 512; ///< of one report
 
 } // namespace
@@ -185,13 +189,7 @@
     const bool is_full = !finds_free_slot &&
                          (kind == reply_kind::not_executed || kind == reply_kind::lost) &&
                          now < request.give_up;
-    // A worker whose queue is long resets new connections before it reads from them.
-    const bool is_reset_at_once = (kind == reply_kind::lost || kind == reply_kind::not_sent) &&
-                                  !exchange.reused && !exchange.cancelled && took < reset_at_once;
-    if (kind == reply_kind::not_executed || is_reset_at_once)
-        link->window.on_turned_away(now, std::uniform_real_distribution<double>(0, 1)(m_random));
-    else if (kind == reply_kind::answer)
-        link->window.on_answered();
+    note_end(entry, *link, {kind, took, exchange.reused, exchange.cancelled});
     const bool blames = kind != reply_kind::wrong_owner && !is_full && !request.watch->is_gone();
     link->on_end(is_success || !blames, is_success, is_success && finds_free_slot, took, now);
     request.last_worker = entry.life.id;
@@ -247,6 +245,26 @@
     co_return result;
 }
 
+/// What the end of one request says about further ones to the worker and its zone.
+void request_path::note_end(const worker_entry& worker, worker_link& link, const sent_request& sent)
+{
+    const auto now = boot_clock::now();
+    const auto draw = [this] { return std::uniform_real_distribution<double>(0, 1)(m_random); };
+    auto& zone = m_zones.try_emplace(worker.zone, unreached_by_chance).first->second;
+    const bool is_unreached = sent.end == reply_kind::not_sent && !sent.is_cancelled;
+    // A worker whose queue is long resets new connections before it reads from them.
+    const bool is_reset_at_once =
+        sent.end == reply_kind::lost && !sent.is_reused && sent.took < reset_at_once;
+    if (is_unreached && sent.took >= reset_at_once)
+        zone.on_turned_away(now, draw());
+    else if (!is_unreached && sent.end != reply_kind::lost)
+        zone.on_answered();
+    if (sent.end == reply_kind::not_executed || is_unreached || is_reset_at_once)
+        link.window.on_turned_away(now, draw());
+    else if (sent.end == reply_kind::answer)
+        link.window.on_answered();
+}
+
 /// A connection that was lost is no proof that the worker was; one that is refused afterwards is.
 asio::awaitable<void> request_path::check_lost_worker(std::uint64_t fingerprint,
                                                       worker_entry worker)
--- a/src/routing/send_window.cpp
+++ b/src/routing/send_window.cpp
@@ -9,10 +9,8 @@
 namespace
 {
 
-/// Requests that a worker may reject by chance, as a failing one does, before that counts as full.
-constexpr std::size_t by_chance = 1;
-
-/// After the first rejection beyond that; each further one makes the pause longer by the factor.
+/// After the first rejection beyond those by chance; each further one makes the pause longer by the
+/// factor.
 constexpr double first_pause_ms = 100;
 constexpr double growth = 3;
 constexpr double longest_pause_ms = 3'000; ///< a hot key cools down within some seconds
@@ -28,9 +26,9 @@
         m_in_a_row = 0;
     m_turned_away_at = now;
     ++m_in_a_row;
-    if (m_in_a_row <= by_chance)
+    if (m_in_a_row <= m_by_chance)
         return;
-    const double pause = first_pause_ms * std::pow(growth, m_in_a_row - by_chance - 1);
+    const double pause = first_pause_ms * std::pow(growth, m_in_a_row - m_by_chance - 1);
     constexpr double least_part = 0.5;
     const double drawn = std::min(pause, longest_pause_ms) * (least_part + draw);
     m_closed_until = now + std::chrono::duration_cast<boot_clock::duration>(
--- a/tests/src/unit-room_control.cpp
+++ b/tests/src/unit-room_control.cpp
@@ -22,6 +22,7 @@
     double demand{};         ///< requests a second
     double believed{};       ///< capacity by which the room is estimated, relative to the true one
     bool is_corrected{true}; ///< false: the estimate alone
+    double shed{};           ///< share of the requests that the worker rejects by chance
     std::uint32_t slots{3};
     double run_ms{220};
     double used{};    ///< result: share of the slots' time that was used
@@ -70,6 +71,8 @@
         if (draw(random) > rooms.front().second)
             continue;
         ++sent;
+        if (draw(random) < session.shed)
+            continue;
         auto& slot = *std::ranges::min_element(free_at);
         const double began = std::max(slot, now);
         const double run = session.run_ms * spread(random);
@@ -98,6 +101,7 @@
     CPPUNIT_TEST(a_worker_with_room_refuses_nothing);
     CPPUNIT_TEST(a_worker_that_is_taken_for_slow_is_used);
     CPPUNIT_TEST(a_worker_that_is_taken_for_fast_is_not_flooded);
+    CPPUNIT_TEST(a_worker_that_rejects_by_chance_is_used);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -127,6 +131,17 @@
         }
     }
 
+    /// Pattern: workers reject half of all requests although they have room. Twice the capacity is
+    /// asked for, so all of their slots could be busy.
+    void a_worker_that_rejects_by_chance_is_used()
+    {
+        room_session ours{30.0, 1.0};
+        ours.shed = 0.5;
+        play(ours);
+        std::cout << text(ours) << "\n";
+        CPPUNIT_ASSERT_MESSAGE(text(ours), ours.used > 0.8);
+    }
+
   private:
     /// Plays the corrected room and the estimate alone, and checks the corrected one.
     static std::pair<room_session, room_session> play_both(double demand, double believed)
