--- a/tests/src/session-failover.cpp
+++ b/tests/src/session-failover.cpp
@@ -2,7 +2,9 @@
 #include "store_standin.hpp"
 #include <eelgrassrail/http/client.hpp>
 #include <eelgrassrail/peers/codec.hpp>
+#include <eelgrassrail/peers/packing.hpp>
 #include <eelgrassrail/router/router_process.hpp>
+#include <eelgrassrail/settings/net_address.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -13,6 +15,7 @@
 #include <eelgrassrail_platform/store_client.hpp>
 #include <eelgrassrail_platform/wire_names.hpp>
 #include <memory>
+#include <random>
 #include <thread>
 #include <vector>
 
@@ -212,6 +215,7 @@
     CPPUNIT_TEST(a_store_that_is_away_is_asked_ever_less);
     CPPUNIT_TEST(processes_that_start_again_know_the_owners_at_once);
     CPPUNIT_TEST(all_that_start_again_are_told);
+    CPPUNIT_TEST(damaged_datagrams_end_no_process);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -319,6 +323,42 @@
             CPPUNIT_ASSERT_EQUAL(0, router.stream_reads.load());
         }
     }
+
+    /// Pushes and reports with damaged bytes, wrong lengths and addresses that are none.
+    void damaged_datagrams_end_no_process()
+    {
+        deployment it;
+        it.start_store();
+        it.start_in_turn(2);
+        asio::io_context context;
+        asio::ip::udp::socket socket(context, asio::ip::udp::v4());
+        const auto to = parse_udp_address(address(22)); // the one that does not coordinate
+        std::mt19937 random(11);
+        constexpr int datagrams = 5'000;
+        for (int n = 0; n < datagrams; ++n)
+        {
+            push_route route;
+            route.receivers = {"127.0.0.1:1", "nobody", "", "10.0.0.1:99999"};
+            const auto head = write_message(route);
+            std::string bytes = n % 2 == 0 ? "p" : "r";
+            if (n % 2 == 0)
+            {
+                bytes += static_cast<char>(head.size());
+                bytes += static_cast<char>(head.size() >> 8U);
+                bytes += head;
+            }
+            bytes +=
+                pack(n % 4 < 2 ? write_message(coordinator_push{}) : write_message(entry_report{}));
+            for (std::size_t k = random() % 4; k > 0; --k)
+                bytes[random() % bytes.size()] = static_cast<char>(random());
+            bytes.resize(random() % 3 == 0 ? random() % bytes.size() : bytes.size());
+            socket.send_to(asio::buffer(bytes), to);
+        }
+        CPPUNIT_ASSERT(eventually([] { return metric(2, "processes_known", 2); }));
+        CPPUNIT_ASSERT(metrics_of(2).find("datagrams_malformed_total") != std::string::npos);
+        // It goes on hearing pushes.
+        CPPUNIT_ASSERT(eventually([] { return metric(1, "processes_known", 2); }));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(session_failover);
