Pushes each 75 ms; a few processes of each zone read the store for it

Causes: figures of use were still 270 ms old on average at 125 ms between pushes, with 40 ms a level to gather reports; a rush order runs 190 ms. And while the coordinator lacks the store, or its state is old, all processes read the store: 295 times 3.4 calls a second.

Four processes of each zone read for it; what they read reaches the coordinator with their reports, and all others with its pushes. The others read half a second after the pushes have ended.

--- a/include/eelgrassrail/grants/claim_policy.hpp
+++ b/include/eelgrassrail/grants/claim_policy.hpp
@@ -19,8 +19,8 @@
     std::size_t rank{};         ///< of this process among those that may claim
 };
 
-/// Silence after which the coordinator is taken for lost. Eight pushes fit in.
-constexpr millis coordinator_silence = 8 * push_interval;
+/// Silence after which the coordinator is taken for lost. A dozen pushes fit in.
+constexpr millis coordinator_silence = push_interval * 40 / 3;
 
 /// Time that the coordinator has to reach the log again before another process succeeds it.
 constexpr millis log_loss{300};
--- a/include/eelgrassrail/router/router_state.hpp
+++ b/include/eelgrassrail/router/router_state.hpp
@@ -62,6 +62,10 @@
     /// @brief Whether this process is the coordinator on record.
     [[nodiscard]] bool is_coordinator() const { return coordinator == self; }
 
+    /// @brief Whether this is one of the processes that read the store for their availability zone
+    /// while the coordinator can not. With hundreds of processes all of them are too many.
+    [[nodiscard]] bool reads_for_zone() const;
+
     /// @brief The state allows requests to be served.
     [[nodiscard]] bool can_serve() const { return routes != nullptr && !workers_unknown; }
 
--- a/src/router/coordinator_news.cpp
+++ b/src/router/coordinator_news.cpp
@@ -22,13 +22,13 @@
 /// ended, or reports through another process.
 constexpr millis reporter_lifetime{1'200};
 
-/// The list of processes goes with each push after which it has changed, at most with every fourth
+/// The list of processes goes with each push after which it has changed, at most with every eighth
 /// one, and else once in some seconds.
-constexpr std::uint64_t changed_members_turn = 4;
-constexpr std::uint64_t members_turn = 32;
+constexpr std::uint64_t changed_members_turn = 8;
+constexpr std::uint64_t members_turn = 64;
 
 /// Pushes in which each worker's use is repeated once, as pushes may be lost.
-constexpr std::uint64_t refresh_turns = 8;
+constexpr std::uint64_t refresh_turns = 16;
 
 /// Age of its state at which the coordinator takes over what another process has read.
 constexpr millis stale_age{700};
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -29,9 +29,12 @@
 /// At the first start of all processes each waits this long for a push before it reads the streams.
 constexpr millis first_push_wait{2'000};
 
-/// State older than this is read by each process itself: the coordinator may be turned away by the
-/// store. It leaves time for a read within the time in which a change has to be in
-/// force.
+/// Other processes of a zone than those that read for it wait this much longer.
+constexpr millis others_wait{500};
+
+/// State older than this is read by some processes of each zone, which lend it to the coordinator:
+/// that one may be turned away by the store. It leaves time for a read within the time in which a
+/// change has to be in force.
 constexpr millis stale_time{1'600};
 
 /// The balancer asks once a second and takes a process out after two misses.
@@ -133,8 +136,12 @@
     if (m_state.settings.processor < small_vm && !m_coordinator.is_active() &&
         now - m_state.started < 2 * told_wait)
         return false;
-    return m_coordinator.is_active() || !m_state.can_serve() ||
-           now - m_state.last_push > push_silence || m_state.successor_wanted != instant{} ||
+    if (m_coordinator.is_active() || !m_state.can_serve())
+        return true;
+    const auto silence = now - m_state.last_push;
+    if (!m_state.reads_for_zone())
+        return silence > push_silence + others_wait;
+    return silence > push_silence || m_state.successor_wanted != instant{} ||
            now - m_state.fresh_at > stale_time;
 }
 
--- a/src/router/router_state.cpp
+++ b/src/router/router_state.cpp
@@ -196,6 +196,14 @@
     return record;
 }
 
+bool router_state::reads_for_zone() const
+{
+    constexpr std::ptrdiff_t readers = 4; // of each zone
+    const auto own = std::ranges::find(members, self.address, &news_member::address);
+    return own == members.end() ||
+           std::ranges::count(members.begin(), own, self.zone, &news_member::zone) < readers;
+}
+
 std::uint32_t router_state::age_ms(instant now) const
 {
     constexpr std::int64_t most = 1'000'000'000;
--- a/tests/src/unit-router_state.cpp
+++ b/tests/src/unit-router_state.cpp
@@ -106,6 +106,7 @@
     CPPUNIT_TEST(a_record_of_an_older_epoch_is_not_adopted);
     CPPUNIT_TEST(a_new_coordinator_ends_the_wish_for_a_successor);
     CPPUNIT_TEST(state_grows_old_without_reads);
+    CPPUNIT_TEST(a_few_of_each_zone_read_for_it);
     CPPUNIT_TEST(replies_say_what_ran);
     CPPUNIT_TEST(a_reply_of_another_attempt_is_not_the_answer);
     CPPUNIT_TEST(connection_fields_are_not_passed_on);
@@ -204,6 +205,28 @@
         CPPUNIT_ASSERT(it.state.successor_wanted == instant{});
     }
 
+    /// Pattern: the store turns the coordinator away, and hundreds of processes read it instead.
+    void a_few_of_each_zone_read_for_it()
+    {
+        std::size_t readers = 0;
+        std::vector<news_member> members;
+        for (int n = 0; n < 300; ++n)
+            members.push_back({"10.0.0." + std::to_string(n), "z" + std::to_string(n % 5), 0.1F});
+        for (const auto& member : members)
+        {
+            boost::asio::io_context context;
+            router_settings settings;
+            settings.peer_address = member.address;
+            settings.zone = member.zone;
+            router_state state(context.get_executor(), settings, process::make_calls(),
+                               platform::wire_names());
+            CPPUNIT_ASSERT(state.reads_for_zone()); // it knows no others
+            state.members = members;
+            readers += state.reads_for_zone() ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(20), readers);
+    }
+
     void state_grows_old_without_reads()
     {
         process it;
