--- a/include/eelgrassrail/router/worker_link.hpp
+++ b/include/eelgrassrail/router/worker_link.hpp
@@ -42,7 +42,6 @@
     http_client requests;
     http_client control; ///< grants and releases do not wait for a request's connection
     send_window window;  ///< closed while the worker turns requests away
-    bool is_checked{};   ///< a task looks whether the worker has ended
     instant last_used{};
 
   private:
--- /dev/null
+++ b/src/router/coordinator_workers.cpp
@@ -0,0 +1,93 @@
+/// What the coordinator thinks of the workers: who may own keys, how fast they are, what fits.
+#include <eelgrassrail/router/key_coordinator.hpp>
+
+#include <algorithm>
+
+namespace eelgrassrail
+{
+namespace
+{
+
+/// A worker that has answered no grant for this time, two renewals, gets no more keys.
+constexpr millis renewal_silence{4'500};
+
+constexpr double cold_capacity = 0.5; ///< a worker that has just started is about half as fast
+
+/// Run time that is assumed while no answer was seen.
+constexpr double first_run_ms = 200.0;
+
+/// Mean of the run times over their median, for the spread that the users name.
+constexpr double mean_over_median = 1.1;
+
+} // namespace
+
+void key_coordinator::note_exchange(const worker_entry& worker, const http_exchange& exchange,
+                                    instant now)
+{
+    auto& record = m_workers[worker.life.id];
+    if (exchange.result == exchange_result::complete)
+    {
+        record.last_answered = now;
+        record.refusals = 0;
+    }
+    else if (exchange.refused)
+    {
+        // A partition may refuse connections too, so this does not prove that the process ended.
+        ++record.refusals;
+    }
+}
+
+std::vector<key_worker> key_coordinator::usable_workers(const std::string& service, instant now)
+{
+    const auto ready = m_state.workers.ready(service);
+    std::vector<double> times;
+    for (const auto* worker : ready)
+        if (const double t = m_workers[worker->entry.life.id].speed.typical_ms(); t > 0)
+            times.push_back(t);
+    std::ranges::sort(times);
+    const double middle = times.empty() ? first_run_ms : times[times.size() / 2];
+    std::vector<key_worker> result;
+    for (const auto* worker : ready)
+    {
+        const auto& record = m_workers[worker->entry.life.id];
+        if (m_book.has_ended(worker->entry.life))
+            continue;
+        key_worker usable;
+        usable.life = worker->entry.life;
+        const double known = record.speed.typical_ms();
+        const double run_ms = (known > 0 ? known : middle) * mean_over_median;
+        constexpr double ms_in_s = 1'000.0;
+        constexpr double least_success = 0.1;
+        constexpr double usual_failing = 0.25; // below this the share is mostly chance
+        const double failing = record.failing > usual_failing ? record.failing : 0.0;
+        usable.capacity = worker->entry.slots * ms_in_s / run_ms *
+                          std::max(least_success, 1.0 - failing) *
+                          (worker->is_cold(now) ? cold_capacity : 1.0);
+        usable.may_change = record.refusals == 0 && (record.last_answered == instant{} ||
+                                                     now - record.last_answered < renewal_silence);
+        m_workers[usable.life.id].capacity = usable.capacity;
+        result.push_back(usable);
+    }
+    return result;
+}
+
+/// Compares what is asked of each owner of keys with what it can run.
+void key_coordinator::measure_room()
+{
+    constexpr double unlimited = 1e9; // of a worker whose speed is not known
+    std::map<std::string, double, std::less<>> demand;
+    for (const auto& [service, load] : m_loads)
+        if (load.is_settled())
+            for (const auto& slice : m_state.maps[service].slices())
+                demand[slice.owner.id] += load.rate(slice.first, slice.last);
+    for (auto& [id, record] : m_workers)
+    {
+        const auto asked = demand.find(id);
+        const auto* known = m_state.workers.find(id);
+        record.control.update({asked != demand.end() ? asked->second : 0.0,
+                               record.speed.typical_ms() > 0 ? record.capacity : unlimited,
+                               record.in_flight, known != nullptr ? known->entry.slots : 1});
+    }
+}
+
+} // namespace eelgrassrail
--- a/src/router/key_coordinator.cpp
+++ b/src/router/key_coordinator.cpp
@@ -148,7 +148,7 @@
     // There are many small VMs; each that claims reads the store, so their ranks are spread
     // further.
     constexpr std::size_t drawn_ranks = 4;
-    constexpr std::size_t small_ranks = 40;
+    constexpr std::size_t small_ranks = 24;
     constexpr double large_vm = 0.4; // cores
     const double processor = m_state.settings.processor;
     const bool is_small = processor < small_vm;
--- a/src/router/request_path.cpp
+++ b/src/router/request_path.cpp
@@ -319,6 +319,9 @@
         text += " owner_in_flight=" + std::to_string(use->second.in_flight) +
                 " run_ms=" + std::to_string(use->second.typical_ms) +
                 " room=" + std::to_string(use->second.room);
+    if (const auto* worker = m_state.workers.find(id); worker != nullptr)
+        if (const double closed = closed_for_ms(worker->entry, now); closed > 0)
+            text += " closed_ms=" + std::to_string(static_cast<int>(closed));
     return text;
 }
 
--- a/tests/src/unit-client.cpp
+++ b/tests/src/unit-client.cpp
@@ -190,6 +190,7 @@
         for (const auto& exchange : seen.exchanges)
             CPPUNIT_ASSERT(exchange.result == exchange_result::invalid ||
                            exchange.result == exchange_result::lost);
+        CPPUNIT_ASSERT(seen.peak > 0);
         CPPUNIT_ASSERT(seen.peak <= memory);
         CPPUNIT_ASSERT(seen.longest <= time + late);
     }
--- a/tools/prove_red.sh
+++ b/tools/prove_red.sh
@@ -8,7 +8,7 @@
 root=$PWD
 scratch=$(mktemp -d)
 trap 'rm -rf "$scratch"' EXIT
-cp -r CMakeLists.txt include src tests bench tools "$scratch/"
+cp -r CMakeLists.txt include src platform tests bench tools "$scratch/"
 sed -i "s/ -Werror//" "$scratch/CMakeLists.txt"
 cmake -S "$scratch" -B "$scratch/build" -G Ninja -DCMAKE_CXX_COMPILER_LAUNCHER=ccache >/dev/null
 wrong=0
