Tests of second copies and of answers that break off, at the client

A second copy right behind the answer, on the idle connection, or before the next answer: each request gets its own. A body that ends early, in chunks, with a length or by a reset without one, is not complete. All green at once; a first form of the last test was wrong (Asio's destructor does not reset, so the body without a length ended regularly).

--- a/tests/src/unit-client.cpp
+++ b/tests/src/unit-client.cpp
@@ -7,12 +7,14 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
-#include <atomic>
+#include <exception>
+#include <optional>
 #include <vector>
 
 using namespace eelgrassrail;
@@ -113,6 +115,76 @@
 
 const std::string filler(16UL * 1024, 'x');
 
+/// Answers each request with its id, and may send the answer to the one before a second time.
+class repeating_server
+{
+  public:
+    /// When the second copy is sent.
+    enum class copy_time : std::uint8_t
+    {
+        at_once,      ///< right behind the answer
+        while_idle,   ///< before the next request
+        before_answer ///< after the next request has come
+    };
+
+    explicit repeating_server(copy_time when)
+        : m_when(when)
+        , m_acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+    {
+        asio::co_spawn(context, accept(), asio::detached);
+    }
+
+    [[nodiscard]] std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+    }
+
+    asio::io_context context{1};
+
+  private:
+    asio::awaitable<void> accept()
+    {
+        for (;;)
+            asio::co_spawn(context, serve(co_await m_acceptor.async_accept(asio::use_awaitable)),
+                           asio::detached);
+    }
+
+    asio::awaitable<void> serve(tcp::socket socket)
+    {
+        std::string buf;
+        std::string last;
+        for (;;)
+        {
+            boost::system::error_code ec;
+            const auto n =
+                co_await asio::async_read_until(socket, asio::dynamic_buffer(buf), "\r\n\r\n",
+                                                asio::redirect_error(asio::use_awaitable, ec));
+            if (ec.failed())
+                co_return;
+            const auto id = buf.substr(buf.find("Id: ") + 4, 1);
+            buf.erase(0, n);
+            const auto answer =
+                "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: 1\r\n\r\n" + id;
+            std::string bytes = m_when == copy_time::before_answer ? last + answer : answer;
+            if (m_when == copy_time::at_once)
+                bytes += answer;
+            co_await asio::async_write(socket, asio::buffer(bytes),
+                                       asio::redirect_error(asio::use_awaitable, ec));
+            if (m_when == copy_time::while_idle)
+            {
+                asio::steady_timer timer(context, millis(20));
+                co_await timer.async_wait(asio::use_awaitable);
+                co_await asio::async_write(socket, asio::buffer(answer),
+                                           asio::redirect_error(asio::use_awaitable, ec));
+            }
+            last = answer;
+        }
+    }
+
+    copy_time m_when;
+    tcp::acceptor m_acceptor;
+};
+
 } // namespace
 
 class unit_client : public CppUnit::TestFixture
@@ -126,6 +198,8 @@
     CPPUNIT_TEST(interim_replies_without_end);
     CPPUNIT_TEST(bytes_that_are_no_reply);
     CPPUNIT_TEST(fifty_bodies_without_end);
+    CPPUNIT_TEST(a_second_copy_is_nobodys_answer);
+    CPPUNIT_TEST(an_answer_that_breaks_off_is_not_complete);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr millis time{2'000};
@@ -143,6 +217,95 @@
     }
 
   public:
+    /// Each request gets its own answer, whenever the second copy of the one before comes.
+    void a_second_copy_is_nobodys_answer()
+    {
+        using enum repeating_server::copy_time;
+        for (const auto when : {at_once, while_idle, before_answer})
+        {
+            repeating_server server(when);
+            http_client client(server.context.get_executor(), server.address(), 1);
+            std::string bodies;
+            asio::co_spawn(
+                server.context,
+                [&]() -> asio::awaitable<void>
+                {
+                    for (const std::string id : {"a", "b", "c", "d"})
+                    {
+                        http_call call;
+                        call.method = "GET";
+                        call.target = "/";
+                        call.fields.push_back({"Id", id});
+                        exchange_options options{.until = boot_clock::now() + time};
+                        options.is_answer = [id](const http_reply& reply)
+                        { return find_field(reply.fields, "Id") == id; };
+                        const auto exchange =
+                            co_await client.exchange(std::move(call), std::move(options));
+                        CPPUNIT_ASSERT(exchange.result == exchange_result::complete);
+                        bodies += exchange.reply.body;
+                        asio::steady_timer timer(server.context, millis(40));
+                        co_await timer.async_wait(asio::use_awaitable);
+                    }
+                    server.context.stop();
+                },
+                [](const std::exception_ptr& e)
+                {
+                    if (e)
+                        std::rethrow_exception(e);
+                });
+            server.context.run_for(std::chrono::seconds(20));
+            CPPUNIT_ASSERT_EQUAL(std::string("abcd"), bodies);
+        }
+    }
+
+    /// The server closes in the middle of a body; a body without a length ends with a reset.
+    void an_answer_that_breaks_off_is_not_complete()
+    {
+        for (const std::string head :
+             {"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n",
+              "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n64\r\n",
+              "HTTP/1.1 200 OK\r\n\r\n"})
+        {
+            asio::io_context context{1};
+            tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+            asio::co_spawn(
+                context,
+                [&]() -> asio::awaitable<void>
+                {
+                    auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+                    std::string request;
+                    co_await asio::async_read_until(socket, asio::dynamic_buffer(request),
+                                                    "\r\n\r\n", asio::use_awaitable);
+                    co_await asio::async_write(socket, asio::buffer(head + "half"),
+                                               asio::use_awaitable);
+                    asio::steady_timer timer(context, millis(50)); // the client has read it
+                    co_await timer.async_wait(asio::use_awaitable);
+                    socket.set_option(asio::socket_base::linger(true, 0));
+                    socket.close(); // by a reset; the destructor would not send one
+                },
+                asio::detached);
+            http_client client(context.get_executor(),
+                               "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()), 1);
+            std::optional<http_exchange> seen;
+            asio::co_spawn(
+                context,
+                [&]() -> asio::awaitable<void>
+                {
+                    http_call call;
+                    call.method = "GET";
+                    call.target = "/";
+                    seen = co_await client.exchange(std::move(call), boot_clock::now() + time);
+                },
+                asio::detached);
+            context.run_for(std::chrono::seconds(20));
+            CPPUNIT_ASSERT(seen.has_value());
+            CPPUNIT_ASSERT_MESSAGE(head + std::to_string(static_cast<int>(seen->result)),
+                                   seen->result == exchange_result::invalid ||
+                                       seen->result == exchange_result::lost);
+            CPPUNIT_ASSERT(seen->reply.body.empty());
+        }
+    }
+
     void a_budget_is_not_exceeded()
     {
         receive_budget budget(10);
