--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -26,8 +26,8 @@
 /// Between two reports of a process that hears no pushes.
 constexpr millis least_orphan_gap{400};
 
-/// At the first start of all processes each that has learned of the coordinator waits this long for a
-/// push before it reads the streams.
+/// At the first start of all processes each that has learned of the coordinator waits this long for
+/// a push before it reads the streams.
 constexpr millis first_push_wait{2'000};
 
 /// By then all processes have learned of the coordinator, or can not.
@@ -135,8 +135,8 @@
     // When all processes start for the first time, there is time to wait for the coordinator's
     // copy; a process that starts later serves sooner if it reads for itself.
     // A process that does not know the coordinator yet learns of it by a claim of its own.
-    const bool is_told_soon = m_state.coordinator.address.empty() ||
-                              now - m_state.coordinator_since < first_push_wait;
+    const bool is_told_soon =
+        m_state.coordinator.address.empty() || now - m_state.coordinator_since < first_push_wait;
     if (m_state.settings.is_first_start && !m_coordinator.is_active() && !m_state.can_serve() &&
         now - m_state.started < first_start_time && is_told_soon)
         return false;
