Read the rate limit that workers name; log and count it

Change: the limit in a worker's answer is parsed (a decimal number; anything else is logged, counted and ignored), kept in a table per process and logged when it is named, changed or withdrawn. Counters worker_limits_named, _withdrawn and _malformed, requests_to_limited_workers; gauge worker_limits_known; limited=1 in the lines of requests. No request is routed in another way. The stand-in worker names a limit (any text, changed and taken back at run time) and records arrivals. Ruled out: withdrawal by refusals or by answers under way, which need not name the limit (unit_limits).

--- a/include/eelgrassrail/router/request_forwarder.hpp
+++ b/include/eelgrassrail/router/request_forwarder.hpp
@@ -3,6 +3,7 @@
 
 #include <eelgrassrail/core/error_kind.hpp>
 #include <eelgrassrail/http/caller_watch.hpp>
+#include <eelgrassrail/limits/limit_table.hpp>
 #include <eelgrassrail/requests/quarantine.hpp>
 #include <eelgrassrail/requests/retry_budget.hpp>
 #include <eelgrassrail/router/router_state.hpp>
@@ -42,6 +43,9 @@
     /// @brief Number of requests being served.
     [[nodiscard]] std::size_t in_flight() const noexcept { return m_in_flight; }
 
+    /// @brief Number of workers with a known rate limit.
+    [[nodiscard]] std::size_t known_limits() const noexcept { return m_limits.size(); }
+
   private:
     boost::asio::awaitable<http_reply> route(routed_request& request);
     boost::asio::awaitable<std::optional<http_reply>> try_once(routed_request& request);
@@ -54,6 +58,8 @@
     void count_arrival(const routed_request& request);
     [[nodiscard]] instant owner_wait_deadline(const routed_request& request) const;
     [[nodiscard]] double remaining_backoff_ms(const worker_entry& worker, instant now) const;
+    void record_rate_limit(const std::string& worker, const http_reply& reply, bool is_run_answer,
+                           instant sent_at);
     void record_result(const worker_entry& worker, worker_link& link, const attempt_result& result);
     [[nodiscard]] worker_option make_worker_option(const known_worker& worker, instant now) const;
     [[nodiscard]] admission_inputs make_admission_inputs(const routed_request& request,
@@ -78,6 +84,7 @@
     std::map<std::string, key_sample, std::less<>> m_key_samples; ///< since the last report
     std::map<std::string, send_backoff, std::less<>> m_zone_backoffs; ///< by availability zone
     std::vector<crash_report> m_crash_reports;                        ///< since the last report
+    limit_table m_limits; ///< rate limits that workers name
     std::mt19937 m_random;
     std::size_t m_in_flight{};
     instant m_last_idle_reset{}; ///< last reset of a reused idle connection
--- a/src/router/request_forwarder.cpp
+++ b/src/router/request_forwarder.cpp
@@ -182,12 +182,16 @@
     if (request.matched_route->is_idempotent)
         request.watch->on_gone([link, label] { link->requests.cancel(label); });
     const bool has_free_slot = make_worker_option(worker, started_at).in_flight < entry.slots;
+    if (m_limits.find(entry.life.id))
+        m_state.counters.count("requests_to_limited_workers");
     link->on_start();
     auto exchange = co_await link->requests.exchange(make_call_to(request, worker), options);
     request.watch->on_gone({});
     const auto now = boot_clock::now();
     const auto took = std::chrono::duration_cast<millis>(now - started_at);
     const auto kind = classify(request, m_state.format, exchange);
+    if (exchange.result == exchange_result::complete && kind != reply_kind::wrong_owner)
+        record_rate_limit(entry.life.id, exchange.reply, kind == reply_kind::answer, started_at);
     const bool is_success = kind == reply_kind::answer && exchange.reply.status < 500;
     // A worker without a free slot refuses or resets; this does not count as a failure.
     const bool is_full = !has_free_slot &&
@@ -251,6 +255,35 @@
     co_return result;
 }
 
+/// Records the rate limit that an answer names, or that it names none any more.
+void request_forwarder::record_rate_limit(const std::string& worker, const http_reply& reply,
+                                          bool is_run_answer, instant sent_at)
+{
+    limit_observation seen{{}, is_run_answer, sent_at};
+    const auto text = find_field(reply.fields, m_state.format.rate_limit);
+    if (text)
+    {
+        seen.per_s = parse_rate_limit(*text);
+        if (!seen.per_s)
+        {
+            // The last valid limit stays in force.
+            m_state.counters.count("worker_limits_malformed");
+            log_warning(log_part::dispatch, "worker limit ignored worker=" + worker +
+                                                " why=not a decimal number: " + std::string(*text));
+            return;
+        }
+    }
+    const auto before = m_limits.find(worker);
+    const auto change = m_limits.observe(worker, seen, boot_clock::now());
+    if (change == limit_change::none)
+        return;
+    const bool is_named = change == limit_change::named;
+    m_state.counters.count(is_named ? "worker_limits_named" : "worker_limits_withdrawn");
+    log_info(log_part::dispatch, "worker limit worker=" + worker +
+                                     " per_s=" + (is_named ? std::string(*text) : "none") +
+                                     " was=" + (before ? std::to_string(*before) : "none"));
+}
+
 /// Updates the send backoffs of the worker and its zone.
 void request_forwarder::record_result(const worker_entry& worker, worker_link& link,
                                       const attempt_result& result)
@@ -302,7 +335,9 @@
            (request.matched_route != nullptr ? request.matched_route->name : std::string("-")) +
            " service=" + request.service +
            " key=" + (request.key ? std::to_string(*request.key) : std::string("-")) +
-           " worker=" + request.last_worker + " sent=" + std::to_string(request.attempts) +
+           " worker=" + request.last_worker +
+           (m_limits.find(request.last_worker) ? " limited=1" : "") +
+           " sent=" + std::to_string(request.attempts) +
            " ms=" + std::to_string(static_cast<int>(ms(boot_clock::now() - request.arrived)));
 }
 
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -271,6 +271,7 @@
                  m_state.routes ? static_cast<double>(m_state.routes->version) : 0.0);
     counters.set("state_age_seconds", m_state.age_ms(boot_clock::now()) / ms_in_s);
     counters.set("requests_in_flight", static_cast<double>(m_forwarder.in_flight()));
+    counters.set("worker_limits_known", static_cast<double>(m_forwarder.known_limits()));
     counters.set("callers_connections", static_cast<double>(m_callers.connections()));
     counters.set("coordinates", m_coordinator.is_active() ? 1.0 : 0.0);
     counters.set("processes_known", static_cast<double>(m_state.members.size()));
--- a/tests/standins/worker_standin.cpp
+++ b/tests/standins/worker_standin.cpp
@@ -95,7 +95,32 @@
         co_return grant(call);
     if (path == "/api/release")
         co_return co_await release(call);
-    co_return co_await run(call);
+    if (path == "/limit")
+    {
+        set_rate_limit(query_value(call.target, "per_s").value_or(""));
+        co_return http_reply{};
+    }
+    co_return co_await serve_request(call);
+}
+
+void worker_standin::set_rate_limit(std::string text)
+{
+    m_rate_limit = std::move(text);
+    if (m_settings.prints_runs)
+        std::cout << "limit " << now_us() << ' ' << m_rate_limit << '\n' << std::flush;
+}
+
+asio::awaitable<http_reply> worker_standin::serve_request(const http_call& call)
+{
+    m_arrivals.push_back(now_us());
+    if (m_settings.prints_runs)
+        std::cout << "arrival " << find_field(call.fields, attempt_id_field).value_or("-") << ' '
+                  << m_arrivals.back() << '\n'
+                  << std::flush;
+    auto reply = co_await run(call);
+    if (!m_rate_limit.empty())
+        reply.fields.push_back({"Server-Limit", m_rate_limit});
+    co_return reply;
 }
 
 http_reply worker_standin::grant(const http_call& call)
--- a/tests/standins/worker_standin.hpp
+++ b/tests/standins/worker_standin.hpp
@@ -49,6 +49,14 @@
     /// @param is_leaving whether its state is "draining" instead of "ready"
     [[nodiscard]] std::string registration(bool is_leaving) const;
 
+    /// @brief Sets the text of the rate limit that each answer names; empty: none. The limit is not
+    /// enforced. Also set with POST /limit?per_s=TEXT.
+    void set_rate_limit(std::string text);
+
+    /// Times at which requests arrived, those that were refused too, but not grants, releases and
+    /// requests for another worker. Boot clock, in microseconds.
+    [[nodiscard]] const std::vector<std::int64_t>& arrivals() const { return m_arrivals; }
+
     [[nodiscard]] const std::vector<run_entry>& journal() const { return m_journal; }
     [[nodiscard]] const worker_settings& settings() const { return m_settings; }
 
@@ -61,6 +69,7 @@
     };
 
     boost::asio::awaitable<http_reply> serve(http_call call);
+    boost::asio::awaitable<http_reply> serve_request(const http_call& call);
     boost::asio::awaitable<http_reply> run(const http_call& call);
     boost::asio::awaitable<http_reply> release(const http_call& call);
     http_reply grant(const http_call& call);
@@ -72,6 +81,8 @@
     std::multimap<std::uint32_t, int> m_running; ///< keys of running requests
     int m_waiting{};                             ///< requests that wait for a slot
     int m_busy{};                                ///< slots in use
+    std::string m_rate_limit;
+    std::vector<std::int64_t> m_arrivals;
     std::vector<run_entry> m_journal;
     http_listener m_listener;
 };
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -27,11 +27,11 @@
 }
 pure_parts_have_no_sockets() {
   ! grep -rlE '#include <boost/(asio|beast)|#include <eelgrassrail/(http|peers|entry|log|router)/' \
-    include/eelgrassrail/{core,ownership,tickets,requests,balance,routing,registry,grants,dissemination} \
-    src/{core,ownership,tickets,requests,balance,routing,registry,grants,dissemination}
+    include/eelgrassrail/{core,ownership,tickets,requests,balance,routing,registry,grants,dissemination,limits} \
+    src/{core,ownership,tickets,requests,balance,routing,registry,grants,dissemination,limits}
 }
 names_stay_in_platform() {
-  ! grep -rnE 'Eelgrassrail-(Attempt|Deadline|Expect|Server-Sig|Not-Exec|Shard|Handover)|EELGRASSRAIL_BOOT|/api/(log-|grant|release)' \
+  ! grep -rnE 'Eelgrassrail-(Attempt|Deadline|Expect|Server-Sig|Not-Exec|Shard|Handover)|Server-Limit|EELGRASSRAIL_BOOT|/api/(log-|grant|release)' \
     include src
 }
 run_suite() {
