Issue permits for requests to workers with a rate limit (LIMIT)

What callers saw: nothing at first; a worker in need that named 2.9 and 1 requests a second got 23 and 18 in 4 s, up to three times its limit, since all processes went on sending where its keys are. Cause: nothing outside the answer's path read the limit, and no state of the system holds a bound on the sum over all processes for one worker. Change: one token bucket a worker, in the coordinator (limits/permit_ledger). A process asks for a permit in a datagram before each request to a worker with a limit, repeats included; the coordinator collects what processes observe in answers and announces all limits through the relay trees, so a process knows a limit before it has met the worker. A denied request goes to another worker, or is refused at once with a Retry-After that queues callers at the limit's rate. While the coordinator does not answer, all processes together use three tenths of the limit in time slots of their own. Completed requests without a permit (processes of earlier versions) are charged to the bucket. Keys move away from a limited worker, all but a tenth of its capacity. An answer without a limit to a request sent after it was known ends it. Why it works: the sum is decided in one place, and 4 s of the limit plus the bucket, plus the unsupervised share, stay below the bound. New datagram kinds leave reports and pushes as they were for processes of the build before.

--- a/include/eelgrassrail/router/key_coordinator.hpp
+++ b/include/eelgrassrail/router/key_coordinator.hpp
@@ -13,7 +13,9 @@
 #include <eelgrassrail/grants/key_balancer.hpp>
 #include <eelgrassrail/grants/key_load.hpp>
 #include <eelgrassrail/grants/worker_speed.hpp>
+#include <eelgrassrail/limits/permit_ledger.hpp>
 #include <eelgrassrail/router/peer_link.hpp>
+#include <eelgrassrail/router/permit_message.hpp>
 #include <eelgrassrail/router/router_state.hpp>
 #include <eelgrassrail/router/worker_links.hpp>
 
@@ -41,6 +43,11 @@
     /// @brief Merges a report from another process; ignored while this process is not active.
     void handle_report(const entry_report& report, instant now);
 
+    /// @brief Applies what a process has observed of a worker's rate limit, and decides on a permit
+    /// if one is requested.
+    /// @return nothing while this process is not active
+    std::optional<permit_reply> handle_permit_request(const permit_request& request, instant now);
+
     /// @brief Whether this process holds the coordinator role and knows of no successor.
     [[nodiscard]] bool is_active() const noexcept { return m_is_active; }
 
@@ -60,6 +67,7 @@
         instant last_answer{}; ///< last answer to a grant or release; none: no answer yet
         std::size_t consecutive_refusals{};   ///< consecutive connections that it refused
         std::uint32_t in_flight{};            ///< sum over all reporters
+        double admissible{1.0};               ///< part of the demand that its rate limit may admit
         double capacity{};                    ///< requests per second, as used by the last plan
         admission_ratio_controller admission; ///< admission ratio of the requests for its keys
         worker_load last_pushed;              ///< as last pushed
@@ -96,6 +104,8 @@
     void renew_all(instant now);
     void push_state(instant now);
     void schedule_push();
+    void restart_permits(instant now);
+    void announce_limits(instant now);
     [[nodiscard]] std::vector<cluster_member> live_members(instant now) const;
     [[nodiscard]] cluster_member own_member() const;
     void resume_moves();
@@ -143,6 +153,11 @@
     std::size_t m_active_moves{};    ///< moves in progress
     std::size_t m_balancing_moves{}; ///< those in progress between live workers
     std::uint64_t m_push_count{};    ///< number of pushes sent
+    permit_ledger m_permits;         ///< of workers with a rate limit
+    instant m_coordinating_since{};
+    instant m_limits_changed{};
+    bool m_announces_now{}; ///< the limits are announced with the next push
+    relay_choice m_limits_tree{relay_choice::gathering}; ///< of the last announcement
 };
 
 } // namespace eelgrassrail
--- a/include/eelgrassrail/router/peer_link.hpp
+++ b/include/eelgrassrail/router/peer_link.hpp
@@ -3,6 +3,7 @@
 
 #include <eelgrassrail/http/client.hpp>
 #include <eelgrassrail/http/listener.hpp>
+#include <eelgrassrail/router/permit_message.hpp>
 #include <eelgrassrail/router/router_message.hpp>
 #include <eelgrassrail/router/router_state.hpp>
 
@@ -33,6 +34,16 @@
     std::uint64_t routes{};
 };
 
+/// Called with the messages that arrive.
+struct peer_handlers
+{
+    std::function<void(entry_report)> on_report;
+    std::function<void(received_push)> on_push;
+    std::function<void(const permit_request&)> on_permit_request;
+    std::function<void(const permit_reply&)> on_permit_reply;
+    std::function<void(const limit_update&)> on_limit_update;
+};
+
 /// Owns the UDP socket and the TCP listener of the peer address.
 class peer_link
 {
@@ -41,9 +52,8 @@
     /// @throws std::invalid_argument if the peer address can not be parsed
     peer_link(const boost::asio::any_io_executor& executor, router_state& state);
 
-    /// @brief Starts to receive datagrams and to serve requests. The callbacks run on the executor.
-    void start(std::function<void(entry_report)> on_report,
-               std::function<void(received_push)> on_push);
+    /// @brief Starts to receive datagrams and to serve requests. The handlers run on the executor.
+    void start(peer_handlers handlers);
     void stop();
 
     /// @brief Sends a report as one datagram, which may be lost.
@@ -53,6 +63,14 @@
     void send(std::span<const relay_part<std::string>> parts, bool gathers,
               const coordinator_push& message);
 
+    /// @brief Sends a message about a rate limit as one datagram, which may be lost.
+    void send(const std::string& address, const permit_request& message);
+    void send(const std::string& address, const permit_reply& message);
+
+    /// @brief Sends the rate limits to many processes, to some of them through relays. It may be
+    /// lost.
+    void send(std::span<const relay_part<std::string>> parts, const limit_update& message);
+
     /// @brief Fetches a full copy of the state of another process and applies it.
     /// @param address of the process; nothing is fetched if it is empty or this process's own
     /// @param required versions that the other process waits for, for a short time, before it
@@ -65,8 +83,8 @@
     boost::asio::awaitable<http_reply> serve(http_call call);
     boost::asio::awaitable<http_reply> serve_copy(std::string target);
     void handle_datagram(std::span<const char> bytes, const std::string& from);
-    void handle_push(std::span<const char> body, const std::string& from);
-    void relay(std::span<const relay_part<std::string>> parts, bool gathers,
+    void handle_relayed(char kind, std::span<const char> body, const std::string& from);
+    void relay(char kind, std::span<const relay_part<std::string>> parts, bool gathers,
                std::string_view packed);
     [[nodiscard]] const std::string& cached_copy();
     void send_datagram(const std::string& address, const std::string& bytes);
@@ -75,8 +93,7 @@
     router_state& m_state;
     boost::asio::ip::udp::socket m_socket;
     http_listener m_listener;
-    std::function<void(entry_report)> m_on_report;
-    std::function<void(received_push)> m_on_push;
+    peer_handlers m_handlers;
     std::map<std::string, std::unique_ptr<http_client>> m_clients; ///< by peer address
     bool m_fetching{};
     std::string m_cached_copy; ///< packed copy that was served last
--- a/include/eelgrassrail/router/request_forwarder.hpp
+++ b/include/eelgrassrail/router/request_forwarder.hpp
@@ -3,9 +3,9 @@
 
 #include <eelgrassrail/core/error_kind.hpp>
 #include <eelgrassrail/http/caller_watch.hpp>
-#include <eelgrassrail/limits/limit_table.hpp>
 #include <eelgrassrail/requests/quarantine.hpp>
 #include <eelgrassrail/requests/retry_budget.hpp>
+#include <eelgrassrail/router/permit_client.hpp>
 #include <eelgrassrail/router/router_state.hpp>
 #include <eelgrassrail/router/worker_links.hpp>
 #include <eelgrassrail/routing/admission.hpp>
@@ -28,7 +28,7 @@
 {
   public:
     request_forwarder(boost::asio::any_io_executor executor, router_state& state,
-                      worker_links& links);
+                      worker_links& links, permit_client& permits);
 
     /// @brief Serves one request, retries included.
     /// @return the worker's answer, or a refusal
@@ -43,9 +43,6 @@
     /// @brief Number of requests being served.
     [[nodiscard]] std::size_t in_flight() const noexcept { return m_in_flight; }
 
-    /// @brief Number of workers with a known rate limit.
-    [[nodiscard]] std::size_t known_limits() const noexcept { return m_limits.size(); }
-
   private:
     boost::asio::awaitable<http_reply> route(routed_request& request);
     boost::asio::awaitable<std::optional<http_reply>> try_once(routed_request& request);
@@ -53,6 +50,9 @@
                                                            const known_worker& worker);
     boost::asio::awaitable<void> check_lost_worker(std::uint64_t fingerprint, worker_entry worker);
 
+    [[nodiscard]] bool can_still_send(const routed_request& request,
+                                      const worker_incarnation& worker) const;
+    [[nodiscard]] static bool is_urgent(const routed_request& request);
     [[nodiscard]] const known_worker* select_worker(routed_request& request, double& wait_ms);
     [[nodiscard]] const known_worker* select_owner(routed_request& request, double& wait_ms) const;
     void count_arrival(const routed_request& request);
@@ -77,6 +77,7 @@
     boost::asio::any_io_executor m_executor;
     router_state& m_state;
     worker_links& m_links;
+    permit_client& m_permits;
     split_chooser m_splits;
     quarantine m_quarantine;
     std::map<std::string, retry_budget, std::less<>> m_budgets;   ///< by service
@@ -84,7 +85,6 @@
     std::map<std::string, key_sample, std::less<>> m_key_samples; ///< since the last report
     std::map<std::string, send_backoff, std::less<>> m_zone_backoffs; ///< by availability zone
     std::vector<crash_report> m_crash_reports;                        ///< since the last report
-    limit_table m_limits; ///< rate limits that workers name
     std::mt19937 m_random;
     std::size_t m_in_flight{};
     instant m_last_idle_reset{}; ///< last reset of a reused idle connection
--- a/include/eelgrassrail/router/router_process.hpp
+++ b/include/eelgrassrail/router/router_process.hpp
@@ -4,6 +4,7 @@
 #include <eelgrassrail/http/listener.hpp>
 #include <eelgrassrail/router/key_coordinator.hpp>
 #include <eelgrassrail/router/peer_link.hpp>
+#include <eelgrassrail/router/permit_client.hpp>
 #include <eelgrassrail/router/report_collector.hpp>
 #include <eelgrassrail/router/request_forwarder.hpp>
 #include <eelgrassrail/router/router_state.hpp>
@@ -50,6 +51,7 @@
     boost::asio::awaitable<void> fetch_copy(std::string from, copy_versions min_versions);
     void handle_push(const received_push& message);
     void handle_report(entry_report report);
+    void start_permits();
     [[nodiscard]] entry_report make_report(bool is_orphan);
     void report_without_push(instant now);
     void apply_limits();
@@ -60,6 +62,7 @@
     boost::asio::io_context& m_context;
     router_state m_state;
     worker_links m_links;
+    permit_client m_permits;
     request_forwarder m_forwarder;
     peer_link m_peers;
     stream_reader m_reader;
--- a/include/eelgrassrail/router/router_state.hpp
+++ b/include/eelgrassrail/router/router_state.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <eelgrassrail/grants/key_map.hpp>
+#include <eelgrassrail/limits/limit_table.hpp>
 #include <eelgrassrail/observe/metrics.hpp>
 #include <eelgrassrail/registry/worker_registry.hpp>
 #include <eelgrassrail/router/change_signal.hpp>
@@ -101,6 +102,7 @@
     coordinator_identity push_sender;    ///< process whose registry `push_revision` refers to
     std::vector<cluster_member> members; ///< live processes in claim order
     std::map<std::string, worker_load, std::less<>> worker_loads; ///< by worker id
+    limit_table limits;                                           ///< rate limits that workers name
     bool is_leaving{};
     change_signal changed; ///< notified when routes, workers or ownership change
     metrics counters;
--- a/src/router/coordinator_updates.cpp
+++ b/src/router/coordinator_updates.cpp
@@ -98,6 +98,7 @@
     m_peers.send(m_members.plan(tree, now), tree == relay_choice::gathering, push);
     for (const auto& item : push.use)
         m_state.worker_loads[item.id] = item;
+    announce_limits(now);
 }
 
 /// The load of the workers that has changed since the last push, and of a share of the others,
@@ -114,7 +115,8 @@
         load.typical_ms = static_cast<std::uint32_t>(worker.speed.typical_ms());
         const bool is_repeated = ++n % use_repeat_interval == push_count % use_repeat_interval;
         constexpr double per_mille = 1'000.0;
-        load.room = static_cast<std::uint32_t>(per_mille * worker.admission.ratio());
+        load.room = static_cast<std::uint32_t>(
+            per_mille * std::min(worker.admission.ratio(), worker.admissible));
         if (is_repeated || !(load == worker.last_pushed))
             result.push_back(load);
         worker.last_pushed = load;
@@ -149,6 +151,7 @@
         auto& worker = m_workers[item.id];
         for (const auto time : item.times_ms)
             worker.speed.add(time);
+        m_permits.on_completed(item.id, item.answers + item.failures, now);
         constexpr double smoothing_factor = 0.1;
         const auto* known = m_state.workers.find(item.id);
         worker.speed.on_answers(item.answers, worker.in_flight, known ? known->entry.slots : 1,
--- a/src/router/coordinator_workers.cpp
+++ b/src/router/coordinator_workers.cpp
@@ -63,6 +63,11 @@
         usable.capacity = worker->entry.slots * ms_in_s / run_ms *
                           std::max(min_success_ratio, 1.0 - failing) *
                           (worker->is_cold(now) ? cold_capacity_ratio : 1.0);
+        // A part of the keys stays, so that there are answers that show whether the limit holds.
+        constexpr double min_limited_part = 0.1;
+        if (const auto limit = m_permits.find_confirmed(worker->entry.life.id, now))
+            usable.capacity =
+                std::min(usable.capacity, std::max(*limit, usable.capacity * min_limited_part));
         usable.may_change =
             record.consecutive_refusals == 0 &&
             (record.last_answer == instant{} || now - record.last_answer < renewal_timeout);
@@ -85,6 +90,12 @@
     {
         const auto it = demand.find(id);
         const auto* known = m_state.workers.find(id);
+        // Permits decide on each request; this only spares the coordinator most of the others.
+        constexpr double limit_margin = 2.0;
+        const auto limit = m_permits.find(id);
+        record.admissible = limit && it != demand.end() && it->second > 0
+                                ? std::min(1.0, limit_margin * *limit / it->second)
+                                : 1.0;
         record.admission.update({it != demand.end() ? it->second : 0.0,
                                  record.speed.typical_ms() > 0 ? record.capacity : unlimited,
                                  record.in_flight, known != nullptr ? known->entry.slots : 1});
--- a/src/router/key_coordinator.cpp
+++ b/src/router/key_coordinator.cpp
@@ -190,6 +190,7 @@
     m_next_push = now;
     // Reports are collected first, so that the first plan is based on measured loads.
     m_next_plan = now + 2 * plan_interval;
+    restart_permits(now);
     renew_all(now);
     resume_moves();
     push_state(now);
--- a/src/router/peer_link.cpp
+++ b/src/router/peer_link.cpp
@@ -39,7 +39,10 @@
 enum class datagram_kind : char
 {
     report = 'r',
-    push = 'p'
+    push = 'p',
+    permit_request = 'q',
+    permit_reply = 'a',
+    limit_update = 'l'
 };
 
 /// @brief Decompresses and parses a message.
@@ -87,11 +90,9 @@
     m_socket.non_blocking(true);
 }
 
-void peer_link::start(std::function<void(entry_report)> on_report,
-                      std::function<void(received_push)> on_push)
+void peer_link::start(peer_handlers handlers)
 {
-    m_on_report = std::move(on_report);
-    m_on_push = std::move(on_push);
+    m_handlers = std::move(handlers);
     m_listener.start();
     asio::co_spawn(m_executor, receive(), asio::detached);
 }
@@ -111,11 +112,28 @@
 void peer_link::send(std::span<const relay_part<std::string>> parts, bool gathers,
                      const coordinator_push& message)
 {
-    relay(parts, gathers, pack_push(message));
+    relay(static_cast<char>(datagram_kind::push), parts, gathers, pack_push(message));
+}
+
+void peer_link::send(const std::string& address, const permit_request& message)
+{
+    send_datagram(address,
+                  static_cast<char>(datagram_kind::permit_request) + write_message(message));
+}
+
+void peer_link::send(const std::string& address, const permit_reply& message)
+{
+    send_datagram(address, static_cast<char>(datagram_kind::permit_reply) + write_message(message));
+}
+
+void peer_link::send(std::span<const relay_part<std::string>> parts, const limit_update& message)
+{
+    relay(static_cast<char>(datagram_kind::limit_update), parts, false,
+          pack(write_message(message)));
 }
 
 /// Each receiver gets the same packed message after a route of its own.
-void peer_link::relay(std::span<const relay_part<std::string>> parts, bool gathers,
+void peer_link::relay(char kind, std::span<const relay_part<std::string>> parts, bool gathers,
                       std::string_view packed)
 {
     for (const auto& part : parts)
@@ -123,7 +141,7 @@
         if (part.child == m_state.self.address)
             continue;
         const auto route = write_message(push_route{part.behind, gathers});
-        std::string bytes(1, static_cast<char>(datagram_kind::push));
+        std::string bytes(1, kind);
         for (unsigned n = 0; n < route_length_bytes; ++n)
             bytes += static_cast<char>(route.size() >> (bits_per_byte * n));
         bytes += route;
@@ -172,22 +190,39 @@
 void peer_link::handle_datagram(std::span<const char> bytes, const std::string& from)
 {
     const auto body = bytes.subspan(1);
-    if (bytes.front() == static_cast<char>(datagram_kind::push))
+    switch (static_cast<datagram_kind>(bytes.front()))
     {
-        handle_push(body, from);
+    case datagram_kind::push:
+    case datagram_kind::limit_update:
+        handle_relayed(bytes.front(), body, from);
         return;
-    }
-    if (bytes.front() == static_cast<char>(datagram_kind::report))
+    case datagram_kind::report:
         if (auto message = unpack_message<entry_report>(body))
         {
-            m_on_report(std::move(*message));
+            m_handlers.on_report(std::move(*message));
             return;
         }
+        break;
+    case datagram_kind::permit_request:
+        if (const auto message = read_message<permit_request>(body))
+        {
+            m_handlers.on_permit_request(*message);
+            return;
+        }
+        break;
+    case datagram_kind::permit_reply:
+        if (const auto message = read_message<permit_reply>(body))
+        {
+            m_handlers.on_permit_reply(*message);
+            return;
+        }
+        break;
+    }
     m_state.counters.count("datagrams_malformed");
 }
 
-/// Relays a push before it is parsed, so that parsing does not add latency at each relay level.
-void peer_link::handle_push(std::span<const char> body, const std::string& from)
+/// Relays a message before it is parsed, so that parsing does not add latency at each relay level.
+void peer_link::handle_relayed(char kind, std::span<const char> body, const std::string& from)
 {
     std::size_t length = 0;
     const auto head = std::min<std::size_t>(route_length_bytes, body.size());
@@ -205,9 +240,17 @@
     const auto packed = rest.subspan(length);
     const auto parts =
         divide_receivers(std::span<const std::string>(route->receivers), relay_degree);
-    relay(parts, route->gathers, {packed.data(), packed.size()});
+    relay(kind, parts, route->gathers, {packed.data(), packed.size()});
+    if (kind == static_cast<char>(datagram_kind::limit_update))
+    {
+        if (const auto message = unpack_message<limit_update>(packed))
+            m_handlers.on_limit_update(*message);
+        else
+            m_state.counters.count("datagrams_malformed");
+        return;
+    }
     if (auto message = unpack_message<coordinator_push>(packed))
-        m_on_push(
+        m_handlers.on_push(
             {std::move(*message), from, relay_levels(route->receivers.size()), route->gathers});
     else
         m_state.counters.count("datagrams_malformed");
--- a/src/router/request_forwarder.cpp
+++ b/src/router/request_forwarder.cpp
@@ -44,10 +44,11 @@
 } // namespace
 
 request_forwarder::request_forwarder(asio::any_io_executor executor, router_state& state,
-                                     worker_links& links)
+                                     worker_links& links, permit_client& permits)
     : m_executor(std::move(executor))
     , m_state(state)
     , m_links(links)
+    , m_permits(permits)
     , m_random(static_cast<std::mt19937::result_type>(state.self.born_ms ^
                                                       std::hash<std::string>{}(state.self.address)))
 {
@@ -122,6 +123,16 @@
     if (worker == nullptr)
         co_return refuse(request, wait_ms > 0 ? error_kind::overloaded : error_kind::no_server,
                          wait_ms);
+    if (m_state.limits.find(worker->entry.life.id))
+    {
+        const auto entry = worker->entry;
+        const auto permit =
+            co_await m_permits.acquire(entry.life.id, is_urgent(request), request.deadline);
+        // After a denial the next step selects another worker, or refuses the request.
+        if (!permit.is_granted || !can_still_send(request, entry.life))
+            co_return std::nullopt;
+        worker = m_state.workers.find(entry.life.id);
+    }
     if (request.attempts > 0 && !may_retry(request))
         co_return refuse(
             request, request.may_have_run ? error_kind::server_lost : error_kind::server_refused,
@@ -182,7 +193,7 @@
     if (request.matched_route->is_idempotent)
         request.watch->on_gone([link, label] { link->requests.cancel(label); });
     const bool has_free_slot = make_worker_option(worker, started_at).in_flight < entry.slots;
-    if (m_limits.find(entry.life.id))
+    if (m_state.limits.find(entry.life.id))
         m_state.counters.count("requests_to_limited_workers");
     link->on_start();
     auto exchange = co_await link->requests.exchange(make_call_to(request, worker), options);
@@ -273,8 +284,9 @@
             return;
         }
     }
-    const auto before = m_limits.find(worker);
-    const auto change = m_limits.observe(worker, seen, boot_clock::now());
+    const auto before = m_state.limits.find(worker);
+    const auto change = m_state.limits.observe(worker, seen, boot_clock::now());
+    m_permits.notify(worker);
     if (change == limit_change::none)
         return;
     const bool is_named = change == limit_change::named;
@@ -336,7 +348,7 @@
            " service=" + request.service +
            " key=" + (request.key ? std::to_string(*request.key) : std::string("-")) +
            " worker=" + request.last_worker +
-           (m_limits.find(request.last_worker) ? " limited=1" : "") +
+           (m_state.limits.find(request.last_worker) ? " limited=1" : "") +
            " sent=" + std::to_string(request.attempts) +
            " ms=" + std::to_string(static_cast<int>(ms(boot_clock::now() - request.arrived)));
 }
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -87,7 +87,8 @@
     : m_context(context)
     , m_state(context.get_executor(), std::move(settings), std::move(calls), std::move(format))
     , m_links(context.get_executor(), body_memory(m_state.settings))
-    , m_forwarder(context.get_executor(), m_state, m_links)
+    , m_permits(context.get_executor(), m_state)
+    , m_forwarder(context.get_executor(), m_state, m_links, m_permits)
     , m_peers(context.get_executor(), m_state)
     , m_reader(context.get_executor(), m_state)
     , m_coordinator(context.get_executor(), m_state, m_links, m_peers)
@@ -116,8 +117,20 @@
 
 void router_process::start()
 {
-    m_peers.start([this](entry_report report) { handle_report(std::move(report)); },
-                  [this](const received_push& message) { handle_push(message); });
+    peer_handlers handlers;
+    handlers.on_report = [this](entry_report report) { handle_report(std::move(report)); };
+    handlers.on_push = [this](const received_push& message) { handle_push(message); };
+    handlers.on_permit_request = [this](const permit_request& request)
+    {
+        const auto reply = m_coordinator.handle_permit_request(request, boot_clock::now());
+        if (reply && request.wants_permit)
+            m_peers.send(request.sender, *reply);
+    };
+    handlers.on_permit_reply = [this](const permit_reply& reply) { m_permits.handle_reply(reply); };
+    handlers.on_limit_update = [this](const limit_update& update)
+    { m_permits.handle_update(update); };
+    m_peers.start(std::move(handlers));
+    start_permits();
     m_reader.start([this] { return should_read_streams(); });
     m_coordinator.start();
     m_callers.start();
@@ -129,6 +142,16 @@
                                   " born=" + std::to_string(m_state.self.born_ms));
 }
 
+void router_process::start_permits()
+{
+    permit_client::channels to;
+    to.send = [this](const std::string& address, const permit_request& request)
+    { m_peers.send(address, request); };
+    to.decide_here = [this](const permit_request& request)
+    { return m_coordinator.handle_permit_request(request, boot_clock::now()); };
+    m_permits.start(std::move(to));
+}
+
 bool router_process::should_read_streams() const
 {
     const auto now = boot_clock::now();
@@ -271,7 +294,7 @@
                  m_state.routes ? static_cast<double>(m_state.routes->version) : 0.0);
     counters.set("state_age_seconds", m_state.age_ms(boot_clock::now()) / ms_in_s);
     counters.set("requests_in_flight", static_cast<double>(m_forwarder.in_flight()));
-    counters.set("worker_limits_known", static_cast<double>(m_forwarder.known_limits()));
+    counters.set("worker_limits_known", static_cast<double>(m_state.limits.limits().size()));
     counters.set("callers_connections", static_cast<double>(m_callers.connections()));
     counters.set("coordinates", m_coordinator.is_active() ? 1.0 : 0.0);
     counters.set("processes_known", static_cast<double>(m_state.members.size()));
--- a/src/router/worker_selection.cpp
+++ b/src/router/worker_selection.cpp
@@ -42,9 +42,11 @@
     {
         auto option = make_worker_option(*worker, now);
         const double closed_ms = remaining_backoff_ms(worker->entry, now);
-        option.is_excluded = request.refused_by.contains(worker->entry.life.id) || closed_ms > 0;
-        if (closed_ms > 0)
-            min_wait_ms = min_wait_ms > 0 ? std::min(min_wait_ms, closed_ms) : closed_ms;
+        const auto denial = m_state.limits.last_denial(worker->entry.life.id, now);
+        const double blocked_ms = std::max(closed_ms, denial.retry_after_ms);
+        option.is_excluded = request.refused_by.contains(worker->entry.life.id) || blocked_ms > 0;
+        if (blocked_ms > 0)
+            min_wait_ms = min_wait_ms > 0 ? std::min(min_wait_ms, blocked_ms) : blocked_ms;
         if (!option.is_excluded)
         {
             const auto decision = admit(option, make_admission_inputs(request, *worker, now));
@@ -78,15 +80,42 @@
     if (worker == nullptr || !worker->accepts_work() || worker->entry.life != slice.owner)
         return nullptr;
     const auto now = boot_clock::now();
-    wait_ms = remaining_backoff_ms(worker->entry, now);
+    wait_ms = std::max(remaining_backoff_ms(worker->entry, now),
+                       m_state.limits.queue_caller(worker->entry.life.id, now));
     if (wait_ms > 0)
         return nullptr;
     const auto decision =
         admit(make_worker_option(*worker, now), make_admission_inputs(request, *worker, now));
+    constexpr double ms_in_s = 1'000.0;
+    constexpr double min_per_s = 0.1; // callers are not told to wait for longer than 10 s
     wait_ms = decision.retry_after_ms;
+    if (const auto limit = m_state.limits.find(worker->entry.life.id))
+        wait_ms = std::max(wait_ms, ms_in_s / std::max(*limit, min_per_s));
     return decision.is_admitted ? worker : nullptr;
 }
 
+/// Whether a worker that was selected before a wait can still get the request.
+bool request_forwarder::can_still_send(const routed_request& request,
+                                       const worker_incarnation& worker) const
+{
+    const auto* known = m_state.workers.find(worker.id);
+    if (known == nullptr || !known->accepts_work() || known->entry.life != worker ||
+        boot_clock::now() >= request.deadline || request.watch->is_gone())
+        return false;
+    if (!request.settings->is_sharded)
+        return true;
+    const auto map = m_state.maps.find(request.service);
+    return map != m_state.maps.end() && map->second.find(*request.key).is_ready &&
+           map->second.find(*request.key).owner == worker;
+}
+
+/// Whether there are routes of lower priority, whose requests leave room for this one.
+bool request_forwarder::is_urgent(const routed_request& request)
+{
+    return std::ranges::any_of(request.table->routes, [&](const auto& other)
+                               { return other.priority > request.matched_route->priority; });
+}
+
 /// Remaining time, in ms, for which nothing is sent to a worker that rejects requests or whose zone
 /// is unreachable; 0: open.
 double request_forwarder::remaining_backoff_ms(const worker_entry& worker, instant now) const
@@ -115,9 +144,7 @@
         constexpr double admission_ratio_scale = 1'000.0;
         inputs.admission_ratio = load->second.room / admission_ratio_scale;
         inputs.admission_sample = request.admission_sample;
-        inputs.is_urgent =
-            std::ranges::any_of(request.table->routes, [&](const auto& other)
-                                { return other.priority > request.matched_route->priority; });
+        inputs.is_urgent = is_urgent(request);
     }
     return inputs;
 }
