--- a/tests/src/main.cpp
+++ b/tests/src/main.cpp
@@ -44,8 +44,8 @@
 
 int main(int argc, char** argv)
 {
-    eelgrassrail::start_logging(
-        std::getenv("EELGRASSRAIL_LOG") != nullptr ? std::getenv("EELGRASSRAIL_LOG") : "error");
+    const char* log_level = std::getenv("EELGRASSRAIL_LOG");
+    eelgrassrail::start_logging(log_level != nullptr ? log_level : "error");
     CppUnit::TestResult controller;
     CppUnit::TestResultCollector collector;
     progress_listener listener;
