One permit for a repeated request; at most three denials a request

Cause: found while reading the change. A request for a permit that is sent again after 80 ms, because the coordinator is slow, took two permits, so a slow coordinator halved what a limited worker gets. A request to a service whose workers mostly have limits asked one after the other, a round trip each. Change: the coordinator remembers permits for 400 ms by sender and id; after three denials a request is sent only to workers without a limit, or refused at once. Permitted requests count as running for 12 s, longer than any route's timeout here. Test: session_limits was red 2 of 10 ('p1 got only 0'): the other worker without keys could serve all requests with slots free, so the choice of the better of two never took p1. That is no starvation, since the demand did not need it. Its workers now run for 60 ms, so that all slots are often busy, and full use after the limit means more than twice the limit.

--- a/include/eelgrassrail/router/key_coordinator.hpp
+++ b/include/eelgrassrail/router/key_coordinator.hpp
@@ -73,6 +73,14 @@
         worker_load last_pushed;              ///< as last pushed
     };
 
+    /// A permit, for requests that are repeated because the reply was lost or late.
+    struct issued_permit
+    {
+        std::string sender;
+        std::uint64_t id{};
+        instant at{};
+    };
+
     /// Transfer of one range of keys to a new owner.
     struct key_move
     {
@@ -105,6 +113,7 @@
     void push_state(instant now);
     void schedule_push();
     void restart_permits(instant now);
+    permit_decision issue_permit(const permit_request& request, instant now);
     void announce_limits(instant now);
     [[nodiscard]] std::vector<cluster_member> live_members(instant now) const;
     [[nodiscard]] cluster_member own_member() const;
@@ -150,10 +159,11 @@
     std::map<std::string, worker_record, std::less<>> m_workers; ///< by id
     std::map<std::string, key_load, std::less<>> m_loads;        ///< by service
     std::vector<std::pair<instant, crash_report>> m_crashes;
-    std::size_t m_active_moves{};    ///< moves in progress
-    std::size_t m_balancing_moves{}; ///< those in progress between live workers
-    std::uint64_t m_push_count{};    ///< number of pushes sent
-    permit_ledger m_permits;         ///< of workers with a rate limit
+    std::size_t m_active_moves{};       ///< moves in progress
+    std::size_t m_balancing_moves{};    ///< those in progress between live workers
+    std::uint64_t m_push_count{};       ///< number of pushes sent
+    permit_ledger m_permits;            ///< of workers with a rate limit
+    std::deque<issued_permit> m_issued; ///< recent ones
     instant m_coordinating_since{};
     instant m_limits_changed{};
     bool m_announces_now{}; ///< the limits are announced with the next push
--- a/include/eelgrassrail/router/permit_message.hpp
+++ b/include/eelgrassrail/router/permit_message.hpp
@@ -24,9 +24,11 @@
     bool is_notice{};    ///< the sender has just observed it, or that there is none any more
     bool wants_permit{}; ///< false: a notice only, which gets no reply
     bool is_urgent{};    ///< the request is of high priority
+    bool is_repeat{};    ///< sent again with the same id, since there was no reply
 };
 BOOST_DESCRIBE_STRUCT(permit_request, (),
-                      (sender, id, worker, is_limited, per_s, is_notice, wants_permit, is_urgent))
+                      (sender, id, worker, is_limited, per_s, is_notice, wants_permit, is_urgent,
+                       is_repeat))
 
 /// The coordinator's reply.
 struct permit_reply
--- a/include/eelgrassrail/router/routed_request.hpp
+++ b/include/eelgrassrail/router/routed_request.hpp
@@ -33,6 +33,7 @@
     double admission_sample{}; ///< random, 0 to 1, one per request; for
                                ///< `admission_inputs::admission_sample`
     unsigned attempts{};       ///< how often it was written to a worker
+    unsigned permit_denials{}; ///< how often a worker with a rate limit had no permit for it
     bool may_have_run{};       ///< a worker may have started to run it
     std::set<std::string> refused_by; ///< ids of workers not tried again; unused for keyed services
     std::string last_worker;          ///< id of the worker of the last attempt
--- a/src/limits/permit_ledger.cpp
+++ b/src/limits/permit_ledger.cpp
@@ -34,7 +34,7 @@
 constexpr millis unpermitted_run_time{2'000};
 
 /// A request with a permit is not expected to end after this time; its process may be lost.
-constexpr millis max_run_time{6'000};
+constexpr millis max_run_time{12'000};
 
 /// Time for which a limit counts as confirmed after the last permit.
 constexpr millis confirmation_time{5'000};
--- a/src/router/coordinator_limits.cpp
+++ b/src/router/coordinator_limits.cpp
@@ -1,7 +1,9 @@
 /// Rate limits of workers at the coordinator: permits and announcements.
+#include <eelgrassrail/limits/permit_times.hpp>
 #include <eelgrassrail/observe/log.hpp>
 #include <eelgrassrail/router/key_coordinator.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace eelgrassrail
@@ -53,13 +55,32 @@
     reply.is_granted = true;
     if (!request.wants_permit)
         return reply;
-    const auto decision = m_permits.take(request.worker, request.is_urgent, now);
+    const auto decision = issue_permit(request, now);
     reply.is_granted = decision.is_granted;
     reply.next_ms = decision.next_ms;
     reply.retry_after_ms = decision.retry_after_ms;
     return reply;
 }
 
+/// Issues at most one permit for a request that is repeated.
+permit_decision key_coordinator::issue_permit(const permit_request& request, instant now)
+{
+    constexpr auto retention = 2 * permit_timeout;
+    while (!m_issued.empty() && m_issued.front().at < now - retention)
+        m_issued.pop_front();
+    permit_decision decision;
+    decision.is_granted =
+        request.is_repeat &&
+        std::ranges::any_of(m_issued, [&](const issued_permit& it)
+                            { return it.id == request.id && it.sender == request.sender; });
+    if (decision.is_granted)
+        return decision;
+    decision = m_permits.take(request.worker, request.is_urgent, now);
+    if (decision.is_granted)
+        m_issued.push_back({request.sender, request.id, now});
+    return decision;
+}
+
 void key_coordinator::restart_permits(instant now)
 {
     m_permits.restart(m_state.limits.limits(), now);
--- a/src/router/permit_client.cpp
+++ b/src/router/permit_client.cpp
@@ -103,6 +103,7 @@
     for (auto next = started_at; !pending.reply && next < last;)
     {
         m_channels.send(m_state.coordinator.address, request);
+        request.is_repeat = true;
         const auto now = boot_clock::now();
         next = next == started_at ? std::min(last, started_at + permit_resend_time) : last;
         boost::system::error_code ec;
--- a/src/router/request_forwarder.cpp
+++ b/src/router/request_forwarder.cpp
@@ -129,6 +129,8 @@
         const auto permit =
             co_await m_permits.acquire(entry.life.id, is_urgent(request), request.deadline);
         // After a denial the next step selects another worker, or refuses the request.
+        if (!permit.is_granted)
+            ++request.permit_denials;
         if (!permit.is_granted || !can_still_send(request, entry.life))
             co_return std::nullopt;
         worker = m_state.workers.find(entry.life.id);
--- a/src/router/worker_selection.cpp
+++ b/src/router/worker_selection.cpp
@@ -18,6 +18,10 @@
 /// runs that take longer than expected.
 constexpr double equal_time_share = 0.45;
 
+/// After this many denied permits a request is only sent to workers without a rate limit. If most
+/// workers have one, further permits are unlikely, and each takes a round trip.
+constexpr unsigned max_permit_denials = 3;
+
 } // namespace
 
 /// Instant until which a request waits for an owner of its key.
@@ -44,7 +48,9 @@
         const double closed_ms = remaining_backoff_ms(worker->entry, now);
         const auto denial = m_state.limits.last_denial(worker->entry.life.id, now);
         const double blocked_ms = std::max(closed_ms, denial.retry_after_ms);
-        option.is_excluded = request.refused_by.contains(worker->entry.life.id) || blocked_ms > 0;
+        option.is_excluded = request.refused_by.contains(worker->entry.life.id) || blocked_ms > 0 ||
+                             (request.permit_denials >= max_permit_denials &&
+                              m_state.limits.find(worker->entry.life.id));
         if (blocked_ms > 0)
             min_wait_ms = min_wait_ms > 0 ? std::min(min_wait_ms, blocked_ms) : blocked_ms;
         if (!option.is_excluded)
--- a/tests/src/session-limits.cpp
+++ b/tests/src/session-limits.cpp
@@ -62,6 +62,8 @@
             settings.zone = "z1";
             settings.is_sharded = id[0] == 'k';
             settings.start_time_ms = 1;
+            // One worker without keys can serve all requests, but then its slots are often busy.
+            settings.run_ms = settings.is_sharded ? 10 : 60;
             workers.push_back(std::make_unique<worker_standin>(context, settings));
             store.put("keyed.servers", id, workers.back()->registration(false));
         }
@@ -280,10 +282,12 @@
         co_await cluster.load(millis(2'000));
         cluster.reset_results();
         const auto full_from = now_us();
-        co_await cluster.load(millis(2'000));
+        constexpr int full_s = 2;
+        co_await cluster.load(millis(full_s * 1'000));
         const auto full =
             plain.arrivals().end() - std::ranges::lower_bound(plain.arrivals(), full_from);
-        CPPUNIT_ASSERT_MESSAGE("p1 got only " + std::to_string(full), full >= 20);
+        CPPUNIT_ASSERT_MESSAGE("p1 got only " + std::to_string(full),
+                               static_cast<double>(full) > 2 * per_s * full_s);
         // Keys that have moved to the other worker need not return, but none may be refused.
         CPPUNIT_ASSERT_EQUAL(cluster.keyed.sent, cluster.keyed.served);
         CPPUNIT_ASSERT_EQUAL(cluster.plain.sent, cluster.plain.served);
