Soak: workers name limits, change them, name malformed ones and take them back

Cause: no run of the real programs checked the bound on the sum over all routers. Change: in each run one worker of each service names limits from 0.2 to 40 a second for 8 to 10 s each, beside all other faults; each window of 4 s is checked from the worker's own log, 3 s after the limit was named.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -15,6 +15,7 @@
     "file with a seed at the begin of each line, used instead of --first_seed and --seeds");
 DEFINE_int32(fault_s, 8, "time during which faults are started, in s");
 DEFINE_string(bin, "build", "folder of the programs");
+DEFINE_string(first_router_bin, "", "folder of the program of the first router; empty: --bin");
 DEFINE_string(folder, "build/soak-logs", "folder for logs");
 DEFINE_int32(first_port, 21'000, "first of the 100 ports to use");
 
@@ -42,8 +43,9 @@
 {
     boost::asio::io_context context(1);
     const auto folder = FLAGS_folder + "/" + std::to_string(seed);
-    eelgrassrail::soak::soak_world world(context, FLAGS_bin, folder,
-                                         static_cast<std::uint16_t>(FLAGS_first_port), seed);
+    eelgrassrail::soak::soak_world world(
+        context, {FLAGS_bin, FLAGS_first_router_bin.empty() ? FLAGS_bin : FLAGS_first_router_bin},
+        folder, static_cast<std::uint16_t>(FLAGS_first_port), seed);
     std::vector<std::string> violations;
     boost::asio::co_spawn(context, world.run(eelgrassrail::millis(FLAGS_fault_s * 1'000)),
                           [&](const std::exception_ptr& failure, std::vector<std::string> result)
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -91,10 +91,11 @@
 
 } // namespace
 
-soak_world::soak_world(asio::io_context& context, std::string bin, std::string folder,
+soak_world::soak_world(asio::io_context& context, soak_programs programs, std::string folder,
                        std::uint16_t first_port, unsigned seed, soak_sizes sizes)
     : m_context(context)
-    , m_bin(std::move(bin))
+    , m_bin(std::move(programs.bin))
+    , m_first_router_bin(std::move(programs.first_router_bin))
     , m_folder(std::move(folder))
     , m_next_port(first_port)
     , m_random(seed)
@@ -136,7 +137,7 @@
 {
     const auto front_port = item.front_port;
     item.process.emplace(
-        m_bin + "/eelgrassrail_platform",
+        (item.name == "r0" ? m_first_router_bin : m_bin) + "/eelgrassrail_platform",
         std::vector<std::string>{"--vm=" + item.name,
                                  std::string("--zone=") + (item.front_port % 2 == 0 ? "z1" : "z2"),
                                  "--ip=127.0.0.1", "--front=" + address(front_port),
@@ -212,6 +213,7 @@
     const auto key = random_below(3) == 0 ? 4'711 : random_below(shard_key_count);
     if (is_keyed)
         call.fields.push_back({"Eelgrassrail-Shard-Key", std::to_string(key)});
+    m_evidence.routers[result.attempt] = static_cast<std::size_t>(&at - m_routers.data());
     http_client client(m_context.get_executor(), address(at.front_port), 1);
     const auto exchange =
         co_await client.exchange(std::move(call), boot_clock::now() + millis(3'000));
@@ -237,6 +239,43 @@
     --m_clients_running;
 }
 
+asio::awaitable<void> soak_world::set_limit(std::uint16_t port, std::string text)
+{
+    http_client client(m_context.get_executor(), address(port), 1);
+    http_call call;
+    call.method = "POST";
+    call.target = "/limit?per_s=" + percent_encode(text);
+    co_await client.exchange(std::move(call), boot_clock::now() + millis(1'000));
+}
+
+/// One worker names limits for some seconds each, with malformed texts and pauses in between.
+asio::awaitable<void> soak_world::name_limits(std::size_t worker_index)
+{
+    constexpr std::array texts{"0.2", "1", "2.9", "10", "40"};
+    constexpr std::array malformed{"-1", "many", "1e2"};
+    ++m_limits_running;
+    while (m_names_limits)
+    {
+        const std::string text = texts.at(random_below(texts.size()));
+        log_fault("limit worker=" + m_workers[worker_index].id + " per_s=" + text);
+        co_await set_limit(m_workers[worker_index].port, text);
+        co_await delay(millis(8'000 + random_below(2'000)));
+        if (random_below(3) == 0)
+        {
+            const std::string other = malformed.at(random_below(malformed.size()));
+            co_await set_limit(m_workers[worker_index].port, other);
+            co_await delay(millis(300));
+        }
+        if (random_below(2) == 0)
+        {
+            co_await set_limit(m_workers[worker_index].port, "");
+            co_await delay(millis(random_below(1'000)));
+        }
+    }
+    co_await set_limit(m_workers[worker_index].port, "");
+    --m_limits_running;
+}
+
 /// One fault of random kind and duration. Several run concurrently.
 asio::awaitable<void> soak_world::fault()
 {
@@ -251,6 +290,8 @@
     log_fault("fault kind=" + std::to_string(kind) + " router=" + entry.name +
               " worker=" + server.id + " ms=" + std::to_string(length.count()) +
               " mode=" + std::to_string(static_cast<int>(mode)));
+    const auto router_index = static_cast<std::size_t>(&entry - m_routers.data());
+    const auto began_us = boot_clock::now().time_since_epoch().count();
     switch (kind)
     {
     case 0: // a router is killed and restarted
@@ -299,6 +340,10 @@
         co_await publish_config();
         break;
     }
+    constexpr std::size_t router_faults = 3; // the first kinds
+    if (kind < router_faults)
+        m_evidence.faults.push_back(
+            {router_index, began_us, boot_clock::now().time_since_epoch().count()});
     --m_faults_running;
 }
 
@@ -310,13 +355,16 @@
     co_await delay(millis(2'000));
     for (std::size_t n = 0; n < m_sizes.clients; ++n)
         asio::co_spawn(m_context, client(n), asio::detached);
+    for (const auto n : {std::size_t{0}, m_sizes.keyed_workers})
+        asio::co_spawn(m_context, name_limits(n), asio::detached);
     const auto deadline = boot_clock::now() + fault_time;
     while (boot_clock::now() < deadline)
     {
         co_await delay(millis(200 + random_below(600)));
         asio::co_spawn(m_context, fault(), asio::detached);
     }
-    while (m_faults_running > 0)
+    m_names_limits = false;
+    while (m_faults_running + m_limits_running > 0)
         co_await delay(millis(50));
     // The keys of a worker that was lost without notice stay unavailable until its leases expire.
     co_await delay(millis(8'000));
@@ -329,6 +377,10 @@
     for (auto& item : m_workers)
         item.process.reset();
     check_journals(violations);
+    for (const auto& file : std::filesystem::directory_iterator(m_folder))
+        if (file.path().stem().string().starts_with("worker"))
+            std::ranges::copy(check_limits(file.path().string(), m_evidence),
+                              std::back_inserter(violations));
     co_return violations;
 }
 
--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -3,6 +3,7 @@
 
 #include "child_process.hpp"
 #include "fault_proxy.hpp"
+#include "limit_check.hpp"
 #include <eelgrassrail/http/client.hpp>
 
 #include <memory>
@@ -32,13 +33,20 @@
     std::size_t clients{8};
 };
 
+/// Folders of the programs of a run.
+struct soak_programs
+{
+    std::string bin;
+    std::string first_router_bin; ///< of one of the routers, which may be an earlier version
+};
+
 /// Processes, proxies, clients and faults of one seed.
 class soak_world
 {
   public:
     /// @param folder for logs; deleted and created anew
     /// @param first_port first of the consecutive loopback ports to use
-    soak_world(boost::asio::io_context& context, std::string bin, std::string folder,
+    soak_world(boost::asio::io_context& context, soak_programs programs, std::string folder,
                std::uint16_t first_port, unsigned seed, soak_sizes sizes = {});
 
     /// @brief Runs load and faults, waits until all faults have ended, and checks the guarantees.
@@ -70,6 +78,8 @@
     boost::asio::awaitable<client_result> send_request(const router& at, bool is_keyed,
                                                        bool is_idempotent);
     boost::asio::awaitable<void> fault();
+    boost::asio::awaitable<void> name_limits(std::size_t worker_index);
+    boost::asio::awaitable<void> set_limit(std::uint16_t port, std::string text);
     boost::asio::awaitable<void> set_store_faults(std::string query);
     boost::asio::awaitable<void> publish_config();
     boost::asio::awaitable<void> delay(millis time);
@@ -84,6 +94,7 @@
 
     boost::asio::io_context& m_context;
     std::string m_bin;
+    std::string m_first_router_bin;
     std::string m_folder;
     std::uint16_t m_next_port;
     std::mt19937 m_random;
@@ -96,7 +107,10 @@
     std::vector<client_result> m_results;
     std::uint64_t m_next_attempt{1};
     unsigned m_config_version{1};
+    limit_evidence m_evidence;
     std::size_t m_faults_running{};
+    std::size_t m_limits_running{};
+    bool m_names_limits{true};
     bool m_is_loading{true};
     std::size_t m_clients_running{};
 };
--- a/tests/src/unit-permits.cpp
+++ b/tests/src/unit-permits.cpp
@@ -46,7 +46,7 @@
 template <class Check>
 void for_all_terms(Check check)
 {
-    for (const std::size_t processes : {12, 300})
+    for (const std::size_t processes : {std::size_t{12}, std::size_t{300}})
         for (const double per_s : all_limits)
             for (const unsigned seed : {1U, 2U, 3U})
             {
