Report a worker as full while requests without a permit exceed its limit

A process that does not know permits can not be refused one. Change: while the bucket of a worker is overdrawn by requests without a permit, those in flight included, the coordinator's pushes say that the worker is full, which processes of the build before obey. Processes that ask for permits do not use the load of a limited worker. Debts reach as far as one window of the limit. A process that is not in the list of members takes the list's size for its share, not the estimate for an unknown list. Ruled out: a change of the push, which the build before would reject as a whole.

--- a/include/eelgrassrail/limits/permit_ledger.hpp
+++ b/include/eelgrassrail/limits/permit_ledger.hpp
@@ -47,6 +47,11 @@
     /// they use up tokens too.
     void on_completed(std::string_view worker, std::size_t requests, instant now);
 
+    /// @brief Whether requests without a permit have used more than the limit. Processes that do
+    /// not ask for permits should then send nothing.
+    /// @param in_flight requests at the worker, as reported by all processes
+    [[nodiscard]] bool is_overdrawn(std::string_view worker, std::size_t in_flight, instant now);
+
     /// @brief The limit of a worker in requests per second; std::nullopt if it has none.
     [[nodiscard]] std::optional<double> find(std::string_view worker) const;
 
--- a/include/eelgrassrail/router/key_coordinator.hpp
+++ b/include/eelgrassrail/router/key_coordinator.hpp
@@ -120,7 +120,8 @@
     void resume_moves();
     void fetch_fresher_copy(const entry_report& report, instant now);
     void record_exchange(const worker_entry& worker, const http_exchange& exchange, instant now);
-    [[nodiscard]] std::vector<worker_load> collect_worker_loads(std::uint64_t push_count);
+    [[nodiscard]] std::vector<worker_load> collect_worker_loads(std::uint64_t push_count,
+                                                                instant now);
     void update_admission();
     void set_in_flight(reporter& sender, const std::vector<worker_report>& workers);
     [[nodiscard]] bool may_grant(instant now) const;
--- a/src/limits/permit_ledger.cpp
+++ b/src/limits/permit_ledger.cpp
@@ -22,9 +22,13 @@
 constexpr double reserve_s = 0.2;
 constexpr double max_reserve = 1.0;
 
-/// Debts beyond this, in seconds of the limit plus one request, are forgotten, so that permits are
-/// issued again soon after requests without a permit have ceased.
-constexpr double max_debt_s = 2.0;
+/// Debts beyond this, in seconds of the limit plus some requests, are forgotten, so that permits
+/// are issued again soon after requests without a permit have ceased.
+constexpr double max_debt_s = 4.0;
+constexpr double max_debt_requests = 5.0;
+
+/// A debt above this is not just one request whose permit was lost.
+constexpr double min_overdraft = 0.5;
 
 /// A worker with a lower limit still gets this many requests per second, since only answers show
 /// that the limit has changed.
@@ -137,7 +141,16 @@
     if (now < at->excess_counts_from)
         return;
     at->tokens = std::max(at->tokens - static_cast<double>(requests - permitted),
-                          std::min(at->tokens, -1.0 - max_debt_s * at->per_s));
+                          std::min(at->tokens, -max_debt_requests - max_debt_s * at->per_s));
+}
+
+bool permit_ledger::is_overdrawn(std::string_view worker, std::size_t in_flight, instant now)
+{
+    const auto* at = fill(worker, now);
+    if (at == nullptr)
+        return false;
+    const auto unpermitted = in_flight - std::min(in_flight, at->permitted.size());
+    return at->tokens - static_cast<double>(unpermitted) < -min_overdraft;
 }
 
 std::optional<double> permit_ledger::find(std::string_view worker) const
--- a/src/router/coordinator_updates.cpp
+++ b/src/router/coordinator_updates.cpp
@@ -83,7 +83,7 @@
     push.workers_end = m_state.workers.end_offset();
     push.age_ms = m_state.age_ms(now);
     push.lacks_store = m_state.store_unreachable_since != instant{};
-    push.use = collect_worker_loads(++m_push_count);
+    push.use = collect_worker_loads(++m_push_count, now);
     m_members.remove_expired(now);
     m_state.members = live_members(now);
     const bool is_changed = m_state.members != m_pushed_members;
@@ -103,7 +103,8 @@
 
 /// The load of the workers that has changed since the last push, and of a share of the others,
 /// which are repeated in turn since pushes may be lost.
-std::vector<worker_load> key_coordinator::collect_worker_loads(std::uint64_t push_count)
+std::vector<worker_load> key_coordinator::collect_worker_loads(std::uint64_t push_count,
+                                                               instant now)
 {
     std::vector<worker_load> result;
     std::uint64_t n = 0;
@@ -112,6 +113,10 @@
         worker_load load;
         load.id = id;
         load.in_flight = worker.in_flight;
+        // Processes of earlier versions ask for no permits, but send nothing to a full worker.
+        constexpr std::uint32_t full = 1'000;
+        if (m_permits.is_overdrawn(id, worker.in_flight, now))
+            load.in_flight += full;
         load.typical_ms = static_cast<std::uint32_t>(worker.speed.typical_ms());
         const bool is_repeated = ++n % use_repeat_interval == push_count % use_repeat_interval;
         constexpr double per_mille = 1'000.0;
--- a/src/router/permit_client.cpp
+++ b/src/router/permit_client.cpp
@@ -40,9 +40,10 @@
 {
     const auto own =
         std::ranges::find(m_state.members, m_state.self.address, &cluster_member::address);
-    if (own == m_state.members.end())
+    if (m_state.members.empty())
         return {};
-    return {static_cast<std::size_t>(own - m_state.members.begin()), m_state.members.size()};
+    const auto rank = static_cast<std::size_t>(own - m_state.members.begin());
+    return {rank, std::max(rank + 1, m_state.members.size())};
 }
 
 asio::awaitable<permit_decision> permit_client::acquire(std::string worker, bool is_urgent,
@@ -84,8 +85,9 @@
         log_debug(log_part::dispatch,
                   "permit denied worker=" + worker + " next_ms=" +
                       std::to_string(static_cast<int>(decision.next_ms)) + " retry_after_ms=" +
-                      std::to_string(static_cast<int>(decision.retry_after_ms)) +
-                      " by=" + (reply ? "coordinator" : "share"));
+                      std::to_string(static_cast<int>(decision.retry_after_ms)) + " by=" +
+                      (reply ? std::string("coordinator")
+                             : "share processes=" + std::to_string(position().processes)));
     }
     co_return decision;
 }
--- a/src/router/worker_selection.cpp
+++ b/src/router/worker_selection.cpp
@@ -165,7 +165,10 @@
     const auto load = m_state.worker_loads.find(worker.entry.life.id);
     if (load != m_state.worker_loads.end())
     {
-        option.in_flight = load->second.in_flight;
+        // Permits bound the requests to a worker with a rate limit. Its load is only for processes
+        // that do not ask for them.
+        if (!m_state.limits.find(worker.entry.life.id))
+            option.in_flight = load->second.in_flight;
         if (load->second.typical_ms > 0)
             option.run_ms = load->second.typical_ms;
     }
