Announce a limit below a tenth a second as it was named

Cause: the ledger stored the rate that it issues, at least 0.1 a second, and announced that; a process that had observed 0 notified the coordinator of a difference with each answer. Change: the named limit is stored, the rate is derived from it. Measured: unit_permits 18 green, a_limit_of_zero_is_tried is new.

--- a/src/limits/permit_ledger.cpp
+++ b/src/limits/permit_ledger.cpp
@@ -51,6 +51,12 @@
 
 constexpr double ms_in_s = 1'000.0;
 
+/// Tokens per second.
+double rate(double per_s)
+{
+    return std::max(per_s, min_per_s);
+}
+
 double capacity(double per_s)
 {
     return min_capacity + capacity_s * per_s;
@@ -80,14 +86,13 @@
 
 bool permit_ledger::set(const rate_limit& limit, instant now)
 {
-    const double per_s = std::max(limit.per_s, min_per_s);
     if (auto* known = fill(limit.worker, now))
     {
-        known->tokens = std::min(known->tokens, capacity(per_s));
-        return std::exchange(known->per_s, per_s) != per_s;
+        known->tokens = std::min(known->tokens, capacity(rate(limit.per_s)));
+        return std::exchange(known->per_s, limit.per_s) != limit.per_s;
     }
     bucket added;
-    added.per_s = per_s;
+    added.per_s = limit.per_s;
     added.tokens = initial_tokens;
     added.filled_at = now;
     added.last_permit = now;
@@ -110,7 +115,8 @@
     auto* from = fill(worker, now);
     if (from == nullptr)
         return {true, 0, 0};
-    const double needed = 1.0 + (is_urgent ? 0.0 : std::min(max_reserve, reserve_s * from->per_s));
+    const double per_s = rate(from->per_s);
+    const double needed = 1.0 + (is_urgent ? 0.0 : std::min(max_reserve, reserve_s * per_s));
     if (from->tokens >= needed)
     {
         from->tokens -= 1.0;
@@ -118,13 +124,12 @@
         from->permitted.push_back(now);
         return {true, 0, 0};
     }
-    const auto next = now + to_duration((needed - from->tokens) / from->per_s);
+    const auto next = now + to_duration((needed - from->tokens) / per_s);
     from->queue_end = std::max(from->queue_end, next);
     // With more demand than the limit, the next token is likely to be taken by someone else.
-    const double retry_after_ms =
-        ms_in_s * std::max(seconds(from->queue_end - now), 1.0 / from->per_s);
-    from->queue_end = std::min(from->queue_end + to_duration(1.0 / from->per_s),
-                               std::max(next, now + max_queue_time));
+    const double retry_after_ms = ms_in_s * std::max(seconds(from->queue_end - now), 1.0 / per_s);
+    from->queue_end =
+        std::min(from->queue_end + to_duration(1.0 / per_s), std::max(next, now + max_queue_time));
     return {false, std::max(min_next_ms, ms_in_s * seconds(next - now)), retry_after_ms};
 }
 
@@ -141,7 +146,7 @@
     if (now < at->excess_counts_from)
         return;
     at->tokens = std::max(at->tokens - static_cast<double>(requests - permitted),
-                          std::min(at->tokens, -max_debt_requests - max_debt_s * at->per_s));
+                          std::min(at->tokens, -max_debt_requests - max_debt_s * rate(at->per_s)));
 }
 
 bool permit_ledger::is_overdrawn(std::string_view worker, std::size_t in_flight, instant now)
@@ -184,8 +189,11 @@
         return nullptr;
     auto& item = it->second;
     if (now > item.filled_at)
-        item.tokens = std::min(capacity(item.per_s),
-                               item.tokens + item.per_s * seconds(now - item.filled_at));
+    {
+        const double per_s = rate(item.per_s);
+        item.tokens =
+            std::min(capacity(per_s), item.tokens + per_s * seconds(now - item.filled_at));
+    }
     item.filled_at = std::max(item.filled_at, now);
     return &item;
 }
--- a/tests/src/unit-permits.cpp
+++ b/tests/src/unit-permits.cpp
@@ -74,6 +74,7 @@
     CPPUNIT_TEST_SUITE(unit_permits);
     CPPUNIT_TEST(a_worker_without_a_limit_needs_no_permit);
     CPPUNIT_TEST(a_bucket_issues_its_rate);
+    CPPUNIT_TEST(a_limit_of_zero_is_tried);
     CPPUNIT_TEST(refused_callers_return_one_after_the_other);
     CPPUNIT_TEST(urgent_requests_have_a_reserve);
     CPPUNIT_TEST(requests_without_a_permit_count);
@@ -109,6 +110,17 @@
         CPPUNIT_ASSERT(granted >= 49 && granted <= 51);
     }
 
+    /// A limit of zero still permits a request now and then, whose answer shows whether it holds.
+    void a_limit_of_zero_is_tried()
+    {
+        permit_ledger ledger;
+        CPPUNIT_ASSERT(ledger.set({"w1", 0}, start_time));
+        CPPUNIT_ASSERT(!ledger.set({"w1", 0}, start_time));
+        CPPUNIT_ASSERT(ledger.limits().front() == (rate_limit{"w1", 0}));
+        CPPUNIT_ASSERT(!ledger.take("w1", true, start_time).is_granted);
+        CPPUNIT_ASSERT(ledger.take("w1", true, start_time + millis(10'000)).is_granted);
+    }
+
     void refused_callers_return_one_after_the_other()
     {
         permit_ledger ledger;
