session_limits: texts that are no limits

Cause: malformed limits were covered by the parser's test only. Change: after the limits are taken back, workers name 'many' and '-1', and no request may be refused.

--- a/tests/src/session-limits.cpp
+++ b/tests/src/session-limits.cpp
@@ -291,6 +291,14 @@
         // Keys that have moved to the other worker need not return, but none may be refused.
         CPPUNIT_ASSERT_EQUAL(cluster.keyed.sent, cluster.keyed.served);
         CPPUNIT_ASSERT_EQUAL(cluster.plain.sent, cluster.plain.served);
+
+        // What is not a decimal number is no limit.
+        keyed.set_rate_limit("many");
+        plain.set_rate_limit("-1");
+        cluster.reset_results();
+        co_await cluster.load(millis(1'000));
+        CPPUNIT_ASSERT_EQUAL(cluster.keyed.sent, cluster.keyed.served);
+        CPPUNIT_ASSERT_EQUAL(cluster.plain.sent, cluster.plain.served);
     }
 };
 
