--- a/tests/src/unit-permits.cpp
+++ b/tests/src/unit-permits.cpp
@@ -89,6 +89,9 @@
     CPPUNIT_TEST(processes_that_are_cut_off);
     CPPUNIT_TEST(restarted_processes);
     CPPUNIT_TEST(an_earlier_version_among_the_processes);
+    CPPUNIT_TEST(an_earlier_version_under_overload);
+    CPPUNIT_TEST(an_earlier_version_in_half_of_the_processes);
+    CPPUNIT_TEST(an_earlier_version_in_half_of_the_processes_under_overload);
     CPPUNIT_TEST(an_earlier_version_as_the_coordinator);
     CPPUNIT_TEST_SUITE_END();
 
@@ -314,31 +317,36 @@
             });
     }
 
-    /// A twelfth, and a half, of the processes ask for no permits. Their requests are charged, and
-    /// while they exceed the limit the worker is reported as full.
+    /// One of twelve processes asks for no permits. Its requests are charged, and while they exceed
+    /// the limit the worker is reported as full.
     void an_earlier_version_among_the_processes()
     {
         for_all_terms(
             [](limit_terms terms)
             {
+                terms.old_processes = terms.processes / 12;
                 terms.busy_share = 0;
-                struct upgrade
-                {
-                    std::size_t old_part{}; // one of so many processes
-                    double demand{};        // relative to the limit
-                };
-                for (const auto& it : {upgrade{12, 4}, upgrade{12, 20}, upgrade{2, 4}})
-                {
-                    terms.old_processes = terms.processes / it.old_part;
-                    terms.demand = it.demand * terms.per_s;
-                    terms.length_s = std::min(terms.length_s, 60.0);
-                    const auto result = play(terms);
-                    check_bound(terms, result);
-                    check_use(terms, result, 0.5);
-                }
+                const auto result = play(terms);
+                check_bound(terms, result);
+                check_use(terms, result, 0.8);
             });
     }
 
+    void an_earlier_version_under_overload()
+    {
+        for_all_terms([](const limit_terms& terms) { check_old_processes(terms, 12, 20); });
+    }
+
+    void an_earlier_version_in_half_of_the_processes()
+    {
+        for_all_terms([](const limit_terms& terms) { check_old_processes(terms, 2, 4); });
+    }
+
+    void an_earlier_version_in_half_of_the_processes_under_overload()
+    {
+        for_all_terms([](const limit_terms& terms) { check_old_processes(terms, 2, 20); });
+    }
+
     /// It answers no requests for permits and announces no limits. Each process learns of the limit
     /// by its own first answer, and the processes use a part of the limit on their own.
     void an_earlier_version_as_the_coordinator()
@@ -356,6 +364,20 @@
                                            allowed_in_window(terms.per_s));
             });
     }
+
+  private:
+    /// @param old_part one of so many processes asks for no permits
+    /// @param demand relative to the limit
+    static void check_old_processes(limit_terms terms, std::size_t old_part, double demand)
+    {
+        terms.old_processes = terms.processes / old_part;
+        terms.busy_share = 0;
+        terms.demand = demand * terms.per_s;
+        terms.length_s = std::min(terms.length_s, 60.0);
+        const auto result = play(terms);
+        check_bound(terms, result);
+        check_use(terms, result, 0.5);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(unit_permits);
