Coordinator: calls to workers and processes through channels; waits on the boot clock

Cause: no test can drive the coordinator itself: it calls workers and processes over the network and waits on a clock of its own. Change: coordinator_channels (as platform_calls for the store) in place of worker_links and peer_link; timers of the coordinator, the stream reader and the change signal run on boot_clock. No decision changes.

--- a/include/eelgrassrail/router/change_signal.hpp
+++ b/include/eelgrassrail/router/change_signal.hpp
@@ -1,11 +1,10 @@
 /// Wakes tasks that wait for a change of state.
 #pragma once
 
-#include <eelgrassrail/core/clock.hpp>
+#include <eelgrassrail/router/boot_timer.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <set>
 
@@ -29,7 +28,7 @@
 
   private:
     boost::asio::any_io_executor m_executor;
-    std::set<boost::asio::steady_timer*> m_waiting;
+    std::set<boot_timer*> m_waiting;
 };
 
 } // namespace eelgrassrail
--- a/include/eelgrassrail/router/key_coordinator.hpp
+++ b/include/eelgrassrail/router/key_coordinator.hpp
@@ -14,10 +14,9 @@
 #include <eelgrassrail/grants/key_load.hpp>
 #include <eelgrassrail/grants/worker_speed.hpp>
 #include <eelgrassrail/limits/permit_ledger.hpp>
-#include <eelgrassrail/router/peer_link.hpp>
+#include <eelgrassrail/router/coordinator_channels.hpp>
 #include <eelgrassrail/router/permit_message.hpp>
 #include <eelgrassrail/router/router_state.hpp>
-#include <eelgrassrail/router/worker_links.hpp>
 
 #include <deque>
 #include <map>
@@ -31,8 +30,8 @@
 class key_coordinator
 {
   public:
-    key_coordinator(boost::asio::any_io_executor executor, router_state& state, worker_links& links,
-                    peer_link& peers);
+    key_coordinator(boost::asio::any_io_executor executor, router_state& state,
+                    coordinator_channels channels);
 
     void start();
 
@@ -133,8 +132,7 @@
 
     boost::asio::any_io_executor m_executor;
     router_state& m_state;
-    worker_links& m_links;
-    peer_link& m_peers;
+    const coordinator_channels m_channels;
     grant_table m_grants;
     bool m_is_active{};
     bool m_is_planning{};
--- a/include/eelgrassrail/router/permit_client.hpp
+++ b/include/eelgrassrail/router/permit_client.hpp
@@ -6,6 +6,7 @@
 #include <eelgrassrail/router/router_state.hpp>
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <map>
--- a/src/router/change_signal.cpp
+++ b/src/router/change_signal.cpp
@@ -9,7 +9,7 @@
 
 boost::asio::awaitable<void> change_signal::wait(boot_clock::duration timeout)
 {
-    boost::asio::steady_timer timer(m_executor, timeout);
+    boot_timer timer(m_executor, timeout);
     m_waiting.insert(&timer);
     boost::system::error_code ec;
     co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ec));
--- a/src/router/coordinator_limits.cpp
+++ b/src/router/coordinator_limits.cpp
@@ -112,7 +112,7 @@
     // The trees are used in turn, since their relays differ.
     m_limits_tree =
         m_limits_tree == relay_choice::gathering ? relay_choice::other : relay_choice::gathering;
-    m_peers.send(m_members.plan(m_limits_tree, now), update);
+    m_channels.announce_limits(m_members.plan(m_limits_tree, now), update);
 }
 
 } // namespace eelgrassrail
--- a/src/router/coordinator_updates.cpp
+++ b/src/router/coordinator_updates.cpp
@@ -95,7 +95,7 @@
     for (const auto& [at, crash] : m_crashes)
         push.crashes.push_back(crash);
     const auto tree = m_push_count % 2 == 0 ? relay_choice::gathering : relay_choice::other;
-    m_peers.send(m_members.plan(tree, now), tree == relay_choice::gathering, push);
+    m_channels.push(m_members.plan(tree, now), tree == relay_choice::gathering, push);
     for (const auto& item : push.use)
         m_state.worker_loads[item.id] = item;
     announce_limits(now);
@@ -211,7 +211,7 @@
     asio::co_spawn(
         m_executor,
         [this, from = report.freshest.address]() -> asio::awaitable<void>
-        { co_await m_peers.fetch_copy(from, {}); },
+        { co_await m_channels.fetch_copy(from); },
         asio::detached);
 }
 
--- a/src/router/key_coordinator.cpp
+++ b/src/router/key_coordinator.cpp
@@ -2,11 +2,11 @@
 #include "router_timeouts.hpp"
 #include <eelgrassrail/observe/log.hpp>
 #include <eelgrassrail/peers/codec.hpp>
+#include <eelgrassrail/router/boot_timer.hpp>
 #include <eelgrassrail/router/key_coordinator.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -52,11 +52,10 @@
 } // namespace
 
 key_coordinator::key_coordinator(asio::any_io_executor executor, router_state& state,
-                                 worker_links& links, peer_link& peers)
+                                 coordinator_channels channels)
     : m_executor(std::move(executor))
     , m_state(state)
-    , m_links(links)
-    , m_peers(peers)
+    , m_channels(std::move(channels))
     , m_grants(make_lease_bounds(state.settings))
 {
 }
@@ -69,7 +68,7 @@
 
 asio::awaitable<void> key_coordinator::delay(millis time)
 {
-    asio::steady_timer timer(m_executor, time);
+    boot_timer timer(m_executor, time);
     co_await timer.async_wait(asio::use_awaitable);
 }
 
--- a/src/router/key_moves.cpp
+++ b/src/router/key_moves.cpp
@@ -44,10 +44,6 @@
                                                             http_call call, millis timeout,
                                                             bool is_grant)
 {
-    http_exchange result;
-    const auto link = m_links.get(worker);
-    if (!link)
-        co_return result;
     // Another process may use the address by now; it must not accept this worker's grants.
     call.fields.push_back({m_state.format.expected_worker, worker.life.id});
     exchange_options options{.until = boot_clock::now() + timeout};
@@ -59,7 +55,7 @@
             m_grants.on_grant_sent(incarnation, boot_clock::now());
             return true;
         };
-    result = co_await link->control.exchange(std::move(call), std::move(options));
+    auto result = co_await m_channels.call_worker(worker, std::move(call), std::move(options));
     record_exchange(worker, result, boot_clock::now());
     co_return result;
 }
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -91,7 +91,7 @@
     , m_forwarder(context.get_executor(), m_state, m_links, m_permits)
     , m_peers(context.get_executor(), m_state)
     , m_reader(context.get_executor(), m_state)
-    , m_coordinator(context.get_executor(), m_state, m_links, m_peers)
+    , m_coordinator(context.get_executor(), m_state, make_coordinator_channels(m_links, m_peers))
     , m_callers(
           context.get_executor(), parse_tcp_address(m_state.settings.caller_address), {},
           [this](http_call call, std::shared_ptr<caller_watch> watch)
--- a/src/router/stream_reader.cpp
+++ b/src/router/stream_reader.cpp
@@ -1,11 +1,11 @@
 /// Tasks that read the workers' and the routes' streams.
 #include <eelgrassrail/core/exception.hpp>
 #include <eelgrassrail/observe/log.hpp>
+#include <eelgrassrail/router/boot_timer.hpp>
 #include <eelgrassrail/router/stream_reader.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -52,7 +52,7 @@
 
 asio::awaitable<void> stream_reader::pause(millis time)
 {
-    asio::steady_timer timer(m_executor, time);
+    boot_timer timer(m_executor, time);
     co_await timer.async_wait(asio::use_awaitable);
 }
 
