Ownership: log what a claim read, until when earlier leases last, and how a moved range became free

Change: lines 'claim reads record', 'leases of earlier coordinators end', fields epoch and ms of failed claims, field source of moves; counters claims, claims_failed, ownership_gaps, grants_after_role. 'event loop delayed' no longer counts the wait of a claim for the store. No decision changes.

--- a/include/eelgrassrail/grants/grant_table.hpp
+++ b/include/eelgrassrail/grants/grant_table.hpp
@@ -52,6 +52,9 @@
     /// `instant::min()` for a worker without grants.
     [[nodiscard]] instant expires_at(const worker_incarnation& worker) const;
 
+    /// @brief First instant at which a grant that was sent at an instant is certainly over.
+    [[nodiscard]] instant expiry_of_grant(instant sent) const;
+
     /// @brief Erases workers whose last lease expired at least two minutes ago.
     void forget(instant now);
 
--- a/include/eelgrassrail/router/key_coordinator.hpp
+++ b/include/eelgrassrail/router/key_coordinator.hpp
@@ -90,6 +90,13 @@
         bool is_balancing{};   ///< between live workers; others may wait for a lease to expire
     };
 
+    /// How the previous owner of a moved range stopped holding it.
+    struct released_source
+    {
+        std::string handover;    ///< in the answer to the release; empty if there is none
+        const char* why{"none"}; ///< "released", "replaced", "expired", or "none": it held nothing
+    };
+
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<void> load_owners();
     boost::asio::awaitable<void> watch_stream();
@@ -97,7 +104,7 @@
     boost::asio::awaitable<bool> append_record(ownership_record record, const char* why);
     boost::asio::awaitable<void> plan_all();
     boost::asio::awaitable<void> move_keys(key_move move);
-    boost::asio::awaitable<std::string> release_source(const key_move& move);
+    boost::asio::awaitable<released_source> release_source(const key_move& move);
     boost::asio::awaitable<bool> grant_to_target(const key_move& move, const std::string& handover);
     boost::asio::awaitable<void> renew(worker_entry worker, std::string service);
     boost::asio::awaitable<http_exchange> call_worker(const worker_entry& worker, http_call call,
--- a/src/grants/grant_table.cpp
+++ b/src/grants/grant_table.cpp
@@ -12,12 +12,16 @@
 }
 
 void grant_table::on_unknown_grants(const worker_incarnation& worker, instant last_sent)
+{
+    auto& expiry = m_expiry[worker];
+    expiry = std::max(expiry, expiry_of_grant(last_sent));
+}
+
+instant grant_table::expiry_of_grant(instant sent) const
 {
     const auto lease = std::chrono::duration_cast<millis>(std::chrono::duration<double, std::milli>(
         static_cast<double>(m_bounds.lease_duration.count()) * (1.0 + m_bounds.clock_drift)));
-    const auto until = last_sent + m_bounds.latest_arrival + lease + m_bounds.margin;
-    auto& expiry = m_expiry[worker];
-    expiry = std::max(expiry, until);
+    return sent + m_bounds.latest_arrival + lease + m_bounds.margin;
 }
 
 void grant_table::on_worker_ended(const worker_incarnation& worker)
--- a/src/router/coordinator_record.cpp
+++ b/src/router/coordinator_record.cpp
@@ -29,6 +29,11 @@
 /// Interval at which an inactive process checks whether it has become the coordinator.
 constexpr millis idle_interval{100};
 
+std::string elapsed_text(instant since)
+{
+    return std::to_string(std::chrono::duration_cast<millis>(boot_clock::now() - since).count());
+}
+
 } // namespace
 
 /// A process that starts while others run, or after all have stopped, reads the owners from the
@@ -62,7 +67,15 @@
     // ahead of changes that the push does not contain.
     for (const auto& record : newest->records)
         if (const auto value = read_message<ownership_record>(record.value))
+        {
+            log_info(log_part::ownership,
+                     "claim reads record version=" + std::to_string(value->version) +
+                         " coordinator=" + value->coordinator.address +
+                         " born=" + std::to_string(value->coordinator.born_ms) +
+                         " end=" + std::to_string(newest->end) +
+                         " known=" + std::to_string(m_state.ownership_version));
             m_state.adopt_record(*value);
+        }
     m_stream_end = newest->end;
     m_has_stream_end = true;
     if (m_state.ownership_version > version && !(m_state.coordinator == m_state.self))
@@ -94,8 +107,12 @@
             m_state.ownership_version = old_version;
         }
         m_has_stream_end = false;
-        log_info(log_part::ownership, std::string("claim failed end=") +
-                                          (end == append_outcome::lost_race ? "race" : "unknown"));
+        m_state.counters.count("claims_failed");
+        log_info(log_part::ownership,
+                 std::string("claim failed end=") +
+                     (end == append_outcome::lost_race ? "race" : "unknown") +
+                     " epoch=" + std::to_string(next_epoch(old_version) >> epoch_shift) +
+                     " ms=" + elapsed_text(call_start));
         co_return;
     }
     ++m_stream_end;
@@ -104,7 +121,9 @@
              "claimed before=" + before.address + " epoch=" + std::to_string(epoch()) +
                  " heard_ms_ago=" +
                  std::to_string(
-                     std::chrono::duration_cast<millis>(call_start - m_state.last_push).count()));
+                     std::chrono::duration_cast<millis>(call_start - m_state.last_push).count()) +
+                 " ms=" + elapsed_text(call_start));
+    m_state.counters.count("claims");
     m_confirmed_at = call_start;
     if (before.address == m_state.self.address)
         start_coordinating(before, m_state.started);
@@ -134,6 +153,12 @@
         }
         if (!m_is_active)
             continue;
+        if (page->has_gap)
+        {
+            m_state.counters.count("ownership_gaps");
+            log_warning(log_part::ownership,
+                        "records deleted before they were read from=" + std::to_string(from));
+        }
         m_confirmed_at = std::max(m_confirmed_at, call_start);
         for (const auto& record : page->records)
         {
--- a/src/router/key_coordinator.cpp
+++ b/src/router/key_coordinator.cpp
@@ -98,7 +98,10 @@
         if (!m_is_active)
         {
             if (!m_state.is_leaving && now >= m_next_claim && should_claim(evidence(now), now))
+            {
                 co_await claim();
+                last_tick = boot_clock::now(); // the wait for the store is no delay of the loop
+            }
             continue;
         }
         if (!m_state.is_coordinator())
@@ -180,11 +183,18 @@
             m_members.add(member, member.address == before.address ? now - suspect_timeout : now);
     for (auto& [id, worker] : m_workers)
         worker.in_flight = 0;
+    std::size_t unfinished = 0;
     for (const auto& [service, map] : m_state.maps)
         for (const auto& slice : map.slices())
+        {
+            unfinished += !slice.is_ready && !slice.owner.id.empty() ? 1 : 0;
             for (const auto& incarnation : {slice.owner, slice.previous})
                 if (!incarnation.id.empty())
                     m_grants.on_unknown_grants(incarnation, last_grants);
+        }
+    log_info(log_part::ownership, "leases of earlier coordinators end in_ms=" +
+                                      ms_text(m_grants.expiry_of_grant(last_grants) - now) +
+                                      " unfinished_moves=" + std::to_string(unfinished));
     m_next_renewal = now + renewal_interval;
     m_next_push = now;
     // Reports are collected first, so that the first plan is based on measured loads.
--- a/src/router/key_moves.cpp
+++ b/src/router/key_moves.cpp
@@ -52,7 +52,10 @@
     if (is_grant)
         options.may_write = [this, incarnation = worker.life]
         {
-            m_grants.on_grant_sent(incarnation, boot_clock::now());
+            const auto now = boot_clock::now();
+            if (!may_grant(now) || !m_state.is_coordinator())
+                m_state.counters.count("grants_after_role");
+            m_grants.on_grant_sent(incarnation, now);
             return true;
         };
     auto result = co_await m_channels.call_worker(worker, std::move(call), std::move(options));
@@ -165,8 +168,8 @@
     ++m_active_moves;
     m_balancing_moves += balancing;
     const auto start = boot_clock::now();
-    const auto handover = co_await release_source(move);
-    const bool is_granted = is_current(move) && co_await grant_to_target(move, handover);
+    const auto source = co_await release_source(move);
+    const bool is_granted = is_current(move) && co_await grant_to_target(move, source.handover);
     --m_active_moves;
     m_balancing_moves -= balancing;
     if (!is_current(move))
@@ -186,9 +189,9 @@
     }
     log_info(
         log_part::ownership,
-        std::string(is_granted ? "moved" : "not moved") + " service=" + move.service +
-            " keys=" + range_text(slice) + " from=" + move.slice.previous.id +
-            " to=" + move.slice.owner.id + " fence=" + std::to_string(move.fence) + " ms=" +
+        std::string(is_granted ? "moved" : "not moved") + " service=" + move.service + " keys=" +
+            range_text(slice) + " from=" + move.slice.previous.id + " to=" + move.slice.owner.id +
+            " source=" + source.why + " fence=" + std::to_string(move.fence) + " ms=" +
             std::to_string(std::chrono::duration_cast<millis>(boot_clock::now() - start).count()));
     assign_slice(move.service, slice);
     m_last_move = boot_clock::now();
@@ -196,14 +199,16 @@
 }
 
 /// Releases the keys at the previous owner, or waits until its lease has expired.
-/// @return the handover data in the answer to the release; empty if there is none
-asio::awaitable<std::string> key_coordinator::release_source(const key_move& move)
+asio::awaitable<key_coordinator::released_source>
+key_coordinator::release_source(const key_move& move)
 {
+    released_source result;
     const auto& source = move.slice.previous;
     // A worker of the same id may have restarted, and a renewal for its previous incarnation may
     // have reached the new one, so that one is released as well.
     while (is_current(move) && m_grants.may_hold(source, boot_clock::now()))
     {
+        result.why = "expired";
         const auto* worker = m_state.workers.find(source.id);
         if (worker == nullptr)
         {
@@ -213,6 +218,7 @@
         if (m_state.workers.is_replaced(worker->entry))
         {
             m_grants.on_worker_ended(source); // a worker that started later has its address
+            result.why = "replaced";
             break;
         }
         const auto entry = worker->entry;
@@ -223,11 +229,15 @@
         auto exchange =
             co_await call_worker(entry, m_state.format.release(release), release_timeout, false);
         if (exchange.result == exchange_result::complete && exchange.reply.status == 200)
-            co_return std::string(
-                find_field(exchange.reply.fields, m_state.format.handover).value_or(""));
+        {
+            result.handover =
+                find_field(exchange.reply.fields, m_state.format.handover).value_or("");
+            result.why = "released";
+            break;
+        }
         co_await delay(retry_backoff);
     }
-    co_return std::string();
+    co_return result;
 }
 
 /// Grants the keys to the new owner, with retries while it does not answer.
