--- a/tests/standins/store_standin.hpp
+++ b/tests/standins/store_standin.hpp
@@ -34,6 +34,9 @@
     /// log-newest, and reads from an older offset get 410.
     void compact(const std::string& topic);
 
+    /// @brief Offset of the next record of a topic.
+    [[nodiscard]] std::uint64_t end(const std::string& topic) { return m_topics[topic].end(); }
+
     fault_settings faults;
     std::uint64_t calls{}; ///< calls received, those of POST /faults aside
 
