Core: unix_ms beside boot_clock, so that a test can replace both clocks

Cause: router_state reads the wall clock for the start time that identifies a process. Change: the function moves from router_state.cpp to core/clock. No change of behaviour.

--- a/include/eelgrassrail/core/clock.hpp
+++ b/include/eelgrassrail/core/clock.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
 namespace eelgrassrail
 {
@@ -29,4 +30,8 @@
 /// Point in time of `boot_clock`; comparable only on one machine and within one boot.
 using instant = boot_clock::time_point;
 
+/// @brief Reads the wall clock, for start times that identify processes.
+/// @return Unix time in ms
+[[nodiscard]] std::uint64_t unix_ms() noexcept;
+
 } // namespace eelgrassrail
--- a/src/router/router_state.cpp
+++ b/src/router/router_state.cpp
@@ -18,12 +18,6 @@
 /// Maximum members in an ownership record; they take about 20 KB.
 constexpr std::size_t max_recorded_members = 512;
 
-std::uint64_t unix_ms()
-{
-    const auto since = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(std::chrono::duration_cast<millis>(since).count());
-}
-
 } // namespace
 
 router_state::router_state(const boost::asio::any_io_executor& executor, router_settings given,
