--- a/tests/model/fault_history.cpp
+++ b/tests/model/fault_history.cpp
@@ -376,7 +376,7 @@
                            [this, first]
                            {
                                if (!m_world.fleet().running(first))
-                                   m_world.fleet().start(first, "spare-" + std::to_string(first));
+                                   m_world.fleet().start(first);
                            });
 }
 
--- a/tests/model/worker_fleet.cpp
+++ b/tests/model/worker_fleet.cpp
@@ -110,6 +110,8 @@
     next.entry.life = {"w" + std::to_string(worker), unix_ms()};
     next.entry.service = model_service;
     next.entry.address = address.empty() ? own_address(worker) : address;
+    if (at_address(next.entry.address))
+        next.entry.address = "spare-" + std::to_string(m_lives.size());
     next.entry.zone = "z" + std::to_string(worker % zones);
     next.entry.slots = slots;
     next.slowness = m_random.is(0.5) ? max_slowness : m_random.between(0, max_slowness);
--- a/tests/model/worker_fleet.hpp
+++ b/tests/model/worker_fleet.hpp
@@ -60,7 +60,7 @@
     [[nodiscard]] static wire_format format();
 
     /// @brief Starts a process of a worker and lists it.
-    /// @param address empty: the one that belongs to the worker
+    /// @param address empty: the one that belongs to the worker; an address in use is not taken
     life_number start(std::size_t worker, const std::string& address = {});
     /// @brief Ends the process of a worker, if it runs; its entry lapses some seconds later.
     void end(std::size_t worker);
