--- a/tests/model/fault_history.cpp
+++ b/tests/model/fault_history.cpp
@@ -61,6 +61,14 @@
                  random.ms(1'000, 8'000), [](model_conditions& now) { now.lost_answers = 0.4; },
                  [](model_conditions& now) { now.lost_answers = model_conditions().lost_answers; });
          }},
+        {"lost_requests", 1.5,
+         [](fault_history& it, chance& random)
+         {
+             it.for_a_time(
+                 random.ms(1'000, 8'000), [](model_conditions& now) { now.lost_requests = 0.4; },
+                 [](model_conditions& now)
+                 { now.lost_requests = model_conditions().lost_requests; });
+         }},
         {"late_appends", 1.5,
          [](fault_history& it, chance& random)
          {
--- a/tests/model/model_settings.hpp
+++ b/tests/model/model_settings.hpp
@@ -39,6 +39,7 @@
     double refused_calls{0.002};   ///< part of the calls that are refused at once
     bool is_store_down{};          ///< nothing is executed
     bool is_refusing{};            ///< while it is down: it refuses instead of being silent
+    bool has_lost_claims{true};    ///< claims too are executed without an answer, or late
     std::set<std::size_t> cut_off; ///< processes that the store does not answer
     double lost_datagrams{0.005};
     double slow_worker_calls{0.02}; ///< part of the calls to workers that are held up on their way
--- a/tests/model/model_store.cpp
+++ b/tests/model/model_store.cpp
@@ -259,14 +259,19 @@
     const auto slot = std::make_shared<outcome_slot>(caller.executor);
     const std::weak_ptr<outcome_slot> weak = slot;
     const auto until = model_now() + call_timeout;
-    const auto fate = draw_fate(caller.process, true);
+    auto fate = draw_fate(caller.process, true);
+    const auto record = read_message<ownership_record>(text).value();
+    sent_append sent;
+    sent.process = caller.process;
+    sent.is_claim = (record.version << epoch_shift) == 0;
     if (m_on_append)
-    {
-        const auto record = read_message<ownership_record>(text).value();
-        sent_append sent;
-        sent.process = caller.process;
-        sent.is_claim = (record.version << epoch_shift) == 0;
         m_on_append(sent);
+    if (sent.is_claim && !m_conditions.has_lost_claims && fate.is_executed)
+    {
+        constexpr double max_ms = 300.0;
+        fate.is_answered = true;
+        fate.way = std::min(fate.way, m_random.ms(0, max_ms));
+        fate.back = std::min(fate.back, m_random.ms(0, max_ms));
     }
     if (fate.is_refused)
         m_events.after(fate.back,
--- a/tests/model/ownership_model.cpp
+++ b/tests/model/ownership_model.cpp
@@ -15,7 +15,9 @@
 DEFINE_uint64(processes, 12, "processes of the router");
 DEFINE_uint64(workers, 0, "workers; 0: 16, or 110 for over 24 processes");
 DEFINE_uint64(seconds, 90, "virtual time of a run");
-DEFINE_string(without, "late_grants", "kinds of fault that do not happen, with commas between");
+DEFINE_string(without, "late_grants",
+              "kinds of fault that do not happen, with commas between; lost_claims: every claim "
+              "that the store executes is answered in time");
 DEFINE_string(only, "", "if not empty, only these kinds happen");
 DEFINE_bool(kinds, false, "print the kinds of fault and end");
 DEFINE_bool(brief, false, "print only the first line of a violation");
@@ -81,6 +83,7 @@
         const auto start = std::chrono::steady_clock::now();
         settings.seed = seed;
         model_world world(settings);
+        world.conditions().has_lost_claims = !settings.without.contains("lost_claims");
         const fault_history history(settings, world);
         world.run();
         print(seed, world,
