--- a/tests/model/model_store.cpp
+++ b/tests/model/model_store.cpp
@@ -231,6 +231,43 @@
     co_return result.value_or(std::nullopt);
 }
 
+void model_store::note_claim(const ownership_record& claim)
+{
+    claim_facts facts;
+    facts.at = model_now();
+    facts.epoch = claim.version >> epoch_shift;
+    facts.cause = "";
+    const auto& records = log_of(platform_stream::ownership).records;
+    const auto before =
+        records.empty() ? std::nullopt : read_message<ownership_record>(records.back().value);
+    if (before && claim.version > next_epoch(before->version))
+        facts.cause = "claim-of-a-later-epoch-than-recorded";
+    else if (before && before->coordinator.address.empty())
+        facts.cause = "claim-after-a-resignation";
+    else if (before && before->coordinator == claim.coordinator)
+        facts.cause = "claim-after-an-own-claim";
+    else if (before && before->coordinator.address == claim.coordinator.address)
+        facts.cause = "claim-after-an-earlier-life";
+    m_claim_facts.push_back(facts);
+}
+
+std::string model_store::explain(std::uint64_t token, instant written_at) const
+{
+    constexpr std::chrono::seconds lease{12};
+    const auto epoch = token >> epoch_shift;
+    std::string earlier;
+    for (const auto& claim : m_claim_facts)
+    {
+        if (claim.epoch > epoch && claim.at < written_at)
+            return "superseded-sender";
+        if (claim.epoch == epoch && *claim.cause != 0)
+            return claim.cause;
+        if (claim.epoch < epoch && *claim.cause != 0 && claim.at > written_at - lease)
+            earlier = std::string("earlier-") + claim.cause;
+    }
+    return earlier.empty() ? "other" : earlier;
+}
+
 append_outcome model_store::execute_append(const store_caller& caller, const std::string& text,
                                            std::uint64_t at, const std::string& note)
 {
@@ -246,6 +283,8 @@
     if (!is_done)
         return append_outcome::lost_race;
     m_claims += is_claim ? 1 : 0;
+    if (is_claim && !record.coordinator.address.empty())
+        note_claim(record);
     ++m_appends;
     put(platform_stream::ownership, only_key, text);
     if (m_on_append)
--- a/tests/model/model_store.hpp
+++ b/tests/model/model_store.hpp
@@ -6,9 +6,11 @@
 #include "event_queue.hpp"
 #include "model_settings.hpp"
 #include "reply_slot.hpp"
+#include <eelgrassrail/grants/ownership_record.hpp>
 #include <eelgrassrail/router/platform_calls.hpp>
 
 #include <array>
+#include <deque>
 #include <functional>
 #include <list>
 #include <map>
@@ -34,6 +36,14 @@
     bool is_executed{}; ///< false: it was just sent
 };
 
+/// A claim that was executed, and what of the record before it may have misled the claimer.
+struct claim_facts
+{
+    instant at{};
+    std::uint64_t epoch{};
+    const char* cause{}; ///< empty: the record before it names another process, one epoch earlier
+};
+
 /// Streams of records, and the calls of all processes.
 class model_store
 {
@@ -51,6 +61,10 @@
     void compact(std::size_t kept);
 
     [[nodiscard]] std::uint64_t claims() const { return m_claims; }
+
+    /// @brief What may have led to a grant that breaks a rule: the kind of the sender's claim, of
+    /// an earlier one, or that there was a later claim when the grant was written.
+    [[nodiscard]] std::string explain(std::uint64_t token, instant written_at) const;
     [[nodiscard]] std::uint64_t appends() const { return m_appends; }
 
   private:
@@ -86,6 +100,7 @@
     boost::asio::awaitable<append_outcome> append(store_caller caller, std::string text,
                                                   std::uint64_t at);
 
+    void note_claim(const ownership_record& claim);
     [[nodiscard]] call_fate draw_fate(std::size_t process, bool is_append);
     void answer(const std::weak_ptr<page_slot>& slot, stream_page page, const call_fate& fate);
     void execute_read(const std::weak_ptr<page_slot>& slot, platform_stream stream,
@@ -111,6 +126,7 @@
     std::list<waiting_read> m_waiting;
     std::function<void(const sent_append&)> m_on_append;
     route_table m_routes;
+    std::deque<claim_facts> m_claim_facts;
     std::uint64_t m_claims{};
     std::uint64_t m_appends{};
 };
--- a/tests/model/model_world.cpp
+++ b/tests/model/model_world.cpp
@@ -60,7 +60,9 @@
                    m_store.put(platform_stream::workers, entry.life.id,
                                is_listed ? write_message(entry) : std::string());
                },
-               [this](const std::string& text) { m_violations.push_back(text); }})
+               [this](const std::string& text) { m_violations.push_back(text); },
+               [this](std::uint64_t token, instant written_at)
+               { return m_store.explain(token, written_at); }})
 {
     constexpr std::array sizes{0.1, 0.25, 0.5, 1.0};
     model_now() = start_of_run;
--- a/tests/model/worker_fleet.cpp
+++ b/tests/model/worker_fleet.cpp
@@ -275,7 +275,8 @@
     std::string text = std::string("VIOLATION ") + describe(violation.kind) + " at " +
                        time_text(event.at) + " key=" + std::to_string(violation.key) +
                        " taker=" + name(violation.taker) + " other=" + name(violation.holder) +
-                       " token=" + version_text(event.fence) + " sender=" + event.sender + "\n";
+                       " token=" + version_text(event.fence) + " sender=" + event.sender +
+                       " cause=" + m_links.explain(event.fence, event.written_at) + "\n";
     for (const auto& line :
          m_journal.lines(violation.key, involves, [this](std::size_t it) { return name(it); }))
         text += "    " + line + "\n";
--- a/tests/model/worker_fleet.hpp
+++ b/tests/model/worker_fleet.hpp
@@ -51,6 +51,8 @@
         /// A worker's entry has changed; `is_listed` false: it lapsed.
         std::function<void(const worker_entry&, bool is_listed)> publish;
         std::function<void(const std::string&)> on_violation;
+        /// What may have led to a grant that breaks a rule.
+        std::function<std::string(std::uint64_t token, instant written_at)> explain;
     };
 
     worker_fleet(event_queue& events, chance& random, event_journal& journal,
