Red: refusals that a faulty worker writes once more are taken for answers

Callers: other operators report that callers were told 'not run' for requests that a worker ran (REFUSED), and that such requests ran at a second worker (TWICE). Cause: a reply without an attempt id counts as this request's on any connection; a 421 is believed whatever id it bears if it ends with its connection; a request for a key that is refused goes to the same worker again, often on the same connection, where a late copy of its own refusal bears the same id. Change: tests only: unit_faulty_workers drives the forwarder against workers that answer with given bytes (tests/fakes/byte_worker). Ruled out: a copy that bears another id and has a length is skipped already (unit_client::a_second_copy_is_nobodys_answer).

--- /dev/null
+++ b/tests/src/unit-faulty_workers.cpp
@@ -0,0 +1,310 @@
+/// Requests to workers that write a refusal once more, write one without an id, or break off. What
+/// the caller is told must be true, and a request that is not idempotent must not run twice.
+#include "byte_worker.hpp"
+#include <eelgrassrail/router/request_forwarder.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <eelgrassrail_platform/decode.hpp>
+#include <eelgrassrail_platform/wire_names.hpp>
+#include <exception>
+
+using namespace eelgrassrail;
+using namespace eelgrassrail::test;
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+const std::string routes_text =
+    R"({"version":"r1","limits":{},"listeners":[{"host":"h","rules":[)"
+    R"({"name":"look","kind":"safe","match":{"path_prefix":"/look/"},"action":)"
+    R"({"service":"plain","timeout":"1500ms","max_attempts":3}},)"
+    R"({"name":"book","kind":"unsafe","match":{"path_prefix":"/book/"},"action":)"
+    R"({"service":"plain","timeout":"1500ms","max_attempts":3}},)"
+    R"({"name":"file","kind":"unsafe","match":{"path_prefix":"/file/"},"action":)"
+    R"({"service":"keys","timeout":"1500ms","max_attempts":3}}]}],"clusters":)"
+    R"([{"name":"keys","sharded":true},{"name":"plain"}]})";
+
+/// Worker's part of a refused and of an answered request.
+byte_answer refuses(unsigned status, const std::string& named)
+{
+    byte_answer answer;
+    answer.steps.push_back({refusal_bytes(status, named), {}});
+    return answer;
+}
+
+byte_answer runs(const std::string& attempt)
+{
+    byte_answer answer;
+    answer.steps.push_back({answer_bytes(attempt), millis(20)});
+    answer.is_run = true;
+    return answer;
+}
+
+/// The request runs, but other bytes arrive before its answer.
+byte_answer runs_after(std::string bytes, const std::string& attempt)
+{
+    auto answer = runs(attempt);
+    answer.steps.insert(answer.steps.begin(), byte_step{std::move(bytes), {}});
+    return answer;
+}
+
+/// One router with workers that answer by scripts.
+class faulty_cluster
+{
+  public:
+    faulty_cluster()
+        : state(context.get_executor(), make_settings(), make_calls(), platform::wire_names())
+        , links(context.get_executor(), 1'000'000)
+        , permits(context.get_executor(), state)
+        , forwarder(context.get_executor(), state, links, permits)
+    {
+        state.apply_routes(routes_text);
+        state.workers_unknown = false;
+        state.members = {{"127.0.0.1:1", "z", 1.0F}, {"127.0.0.1:2", "z", 1.0F}};
+    }
+
+    byte_worker& add_worker(bool is_sharded, byte_worker::script decide)
+    {
+        workers.push_back(std::make_unique<byte_worker>(context, std::move(decide)));
+        worker_change change;
+        change.id = "w" + std::to_string(workers.size());
+        change.offset = workers.size();
+        change.entry.life = {change.id, 1};
+        change.entry.service = is_sharded ? "keys" : "plain";
+        change.entry.address = workers.back()->address();
+        change.entry.zone = "z";
+        change.entry.slots = 4;
+        state.workers.apply(change, boot_clock::now());
+        if (is_sharded)
+        {
+            slice_change assigned;
+            assigned.version = 1;
+            assigned.service = "keys";
+            assigned.slice = {0, key_count - 1, change.entry.life, true, {}, {}};
+            state.apply_slice(assigned);
+        }
+        return *workers.back();
+    }
+
+    asio::awaitable<http_reply> request(std::string target, std::string attempt)
+    {
+        http_call call;
+        call.method = target.starts_with("/look") ? "GET" : "DELETE"; // no body
+        call.target = std::move(target);
+        call.fields = {{"Host", "h"},
+                       {"Eelgrassrail-Attempt-Id", std::move(attempt)},
+                       {"Eelgrassrail-Deadline-Ms", "1500"}};
+        if (call.target.starts_with("/file"))
+            call.fields.push_back({"Eelgrassrail-Shard-Key", "7"});
+        co_return co_await forwarder.serve(std::move(call), std::make_shared<caller_watch>());
+    }
+
+    [[nodiscard]] std::size_t runs_of(const std::string& attempt) const
+    {
+        std::size_t n = 0;
+        for (const auto& worker : workers)
+            n += static_cast<std::size_t>(std::ranges::count(worker->runs(), attempt));
+        return n;
+    }
+
+    /// A promise that the request was not run is true, and it runs once at most.
+    void check(const std::string& attempt, const http_reply& reply) const
+    {
+        const auto text = attempt + " got " + std::to_string(reply.status) + " and ran " +
+                          std::to_string(runs_of(attempt)) + " times";
+        CPPUNIT_ASSERT_MESSAGE(text, runs_of(attempt) <= 1);
+        const bool says_not_run = reply.status == 503 || reply.status == 429 ||
+                                  reply.status == 421 || reply.status == 408;
+        CPPUNIT_ASSERT_MESSAGE(text, !says_not_run || runs_of(attempt) == 0);
+        CPPUNIT_ASSERT_MESSAGE(text, reply.status != 200 || reply.body == "answer to " + attempt);
+    }
+
+    /// Sends the requests one after the other and checks each.
+    std::vector<http_reply> run(const std::string& target, const std::vector<std::string>& attempts)
+    {
+        std::vector<http_reply> replies;
+        std::exception_ptr failure;
+        asio::co_spawn(
+            context,
+            [&]() -> asio::awaitable<void>
+            {
+                for (const auto& attempt : attempts)
+                    replies.push_back(co_await request(target, attempt));
+                // Runs that were started meanwhile count too.
+                asio::steady_timer timer(context, millis(100));
+                co_await timer.async_wait(asio::use_awaitable);
+            },
+            [&](const std::exception_ptr& thrown)
+            {
+                failure = thrown;
+                context.stop();
+            });
+        context.run_for(std::chrono::seconds(20));
+        if (failure)
+            std::rethrow_exception(failure);
+        CPPUNIT_ASSERT_EQUAL(attempts.size(), replies.size());
+        for (std::size_t n = 0; n < attempts.size(); ++n)
+            check(attempts[n], replies[n]);
+        return replies;
+    }
+
+    static router_settings make_settings()
+    {
+        router_settings settings;
+        settings.zone = "z";
+        settings.retry_ratio = 0.2;
+        settings.retry_slack = 64;
+        return settings;
+    }
+
+    static platform_calls make_calls()
+    {
+        platform_calls calls;
+        calls.decode_routes = platform::decode_routes;
+        return calls;
+    }
+
+    asio::io_context context{1};
+    router_state state;
+    worker_links links;
+    permit_client permits;
+    request_forwarder forwarder;
+    std::vector<std::unique_ptr<byte_worker>> workers;
+};
+
+} // namespace
+
+class unit_faulty_workers : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(unit_faulty_workers);
+    CPPUNIT_TEST(a_refusal_without_an_id_on_a_used_connection_is_no_promise);
+    CPPUNIT_TEST(a_refusal_without_an_id_sends_nothing_to_a_second_worker);
+    CPPUNIT_TEST(a_refusal_of_another_attempt_is_no_promise);
+    CPPUNIT_TEST(a_copy_of_the_own_refusal_is_no_answer_to_the_second_sending);
+    CPPUNIT_TEST(a_refusal_without_an_id_on_a_new_connection_counts);
+    CPPUNIT_TEST(a_refusal_with_the_own_id_counts);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    /// Guards against REFUSED: a refusal without an id, written before the answer, was taken for
+    /// the answer.
+    void a_refusal_without_an_id_on_a_used_connection_is_no_promise()
+    {
+        for (const unsigned status : {503U, 429U, 421U, 400U})
+        {
+            faulty_cluster cluster;
+            cluster.add_worker(false,
+                               [&](const byte_request& request)
+                               {
+                                   return request.nth == 0 ? runs(request.attempt)
+                                                           : runs_after(refusal_bytes(status, {}),
+                                                                        request.attempt);
+                               });
+            const auto replies = cluster.run("/book/x", {"a", "b"});
+            CPPUNIT_ASSERT_EQUAL(200U, replies[0].status);
+            CPPUNIT_ASSERT_EQUAL(200U, replies[1].status);
+        }
+    }
+
+    /// Guards against TWICE: the same at the first of two workers; the second one ran it again.
+    void a_refusal_without_an_id_sends_nothing_to_a_second_worker()
+    {
+        faulty_cluster cluster;
+        const auto script = [](const byte_request& request)
+        {
+            return request.position == 0 ? runs(request.attempt)
+                                         : runs_after(refusal_bytes(503, {}), request.attempt);
+        };
+        cluster.add_worker(false, script);
+        cluster.add_worker(false, script);
+        cluster.run("/book/x", {"a", "b", "c", "d", "e", "f"});
+    }
+
+    /// Guards against REFUSED: a 421 that ends with its connection was believed whatever its id.
+    void a_refusal_of_another_attempt_is_no_promise()
+    {
+        faulty_cluster cluster;
+        cluster.add_worker(false,
+                           [](const byte_request& request)
+                           {
+                               if (request.nth == 0)
+                                   return runs(request.attempt);
+                               byte_answer answer;
+                               answer.steps.push_back({"HTTP/1.1 421 Misdirected\r\n"
+                                                       "Eelgrassrail-Attempt-Id: a\r\n\r\n",
+                                                       {}});
+                               answer.end = byte_end::close;
+                               answer.is_run = true;
+                               return answer;
+                           });
+        const auto replies = cluster.run("/book/x", {"a", "b"});
+        CPPUNIT_ASSERT_EQUAL(502U, replies[1].status);
+    }
+
+    /// Guards against REFUSED and TWICE: while a key moves, a request goes to its worker again; the
+    /// late copy of the first refusal bears the same id.
+    void a_copy_of_the_own_refusal_is_no_answer_to_the_second_sending()
+    {
+        for (const unsigned status : {421U, 503U})
+        {
+            faulty_cluster cluster;
+            auto& worker = cluster.add_worker(
+                true,
+                [&](const byte_request& request)
+                {
+                    if (request.nth == 0)
+                        return refuses(status, request.attempt);
+                    return request.position == 0
+                               ? runs(request.attempt)
+                               : runs_after(refusal_bytes(status, request.attempt),
+                                            request.attempt);
+                });
+            const auto replies = cluster.run("/file/x", {"a"});
+            CPPUNIT_ASSERT_EQUAL(200U, replies[0].status);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(2), worker.connections());
+        }
+    }
+
+    /// A worker of another service at this address refuses without an id; the request is served by
+    /// the next worker, and is refused as not run if there is none.
+    void a_refusal_without_an_id_on_a_new_connection_counts()
+    {
+        for (const bool has_second : {false, true})
+        {
+            faulty_cluster cluster;
+            cluster.add_worker(false, [](const byte_request&) { return refuses(421, {}); });
+            if (has_second)
+                cluster.add_worker(false, [](const byte_request& request)
+                                   { return runs(request.attempt); });
+            const auto replies = cluster.run("/book/x", {"a", "b"});
+            for (const auto& reply : replies)
+                CPPUNIT_ASSERT_EQUAL(has_second ? 200U : 503U, reply.status);
+        }
+    }
+
+    /// A refusal that names the attempt is a promise on any connection, which stays open for
+    /// others.
+    void a_refusal_with_the_own_id_counts()
+    {
+        faulty_cluster cluster;
+        auto& worker = cluster.add_worker(false,
+                                          [](const byte_request& request) {
+                                              return request.nth % 2 == 0
+                                                         ? runs(request.attempt)
+                                                         : refuses(429, request.attempt);
+                                          });
+        const auto replies = cluster.run("/book/x", {"a", "b", "c", "d"});
+        CPPUNIT_ASSERT_EQUAL(200U, replies[0].status);
+        CPPUNIT_ASSERT_EQUAL(503U, replies[1].status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), worker.connections());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(unit_faulty_workers);
