A refusal is an answer only with the attempt's id, or on a connection that carried nothing else

Callers: told 503 'not run' for requests that their worker ran, and non-idempotent requests ran at a second worker, when a faulty worker wrote an earlier refusal once more on a kept connection. A reply without an id was taken for this request's on any connection; 421 was believed with any id if it ended with its connection; a refused request for a key was sent to its worker again on the same connection, where a late copy bears its own id. Change: owner_of tells named, other and unnamed replies. http_client accepts an unnamed one only on a new connection, with nothing before it, and does not keep that connection; on a used one it reads on for the named reply, for three typical run times at most, then the fate is unknown (502/504; idempotent requests go to another worker). classify believes nothing with another id. A request keeps the numbers of the connections on which it was refused and is not sent there again; others use them on. A request without an id is refused by workers with 400 without one; that counts on any connection, as it never runs. The log line 'not answered' says whether the reply was named. Ruled out: closing a connection after each refusal (a full worker refuses often; new connections are priced and held by workers); answering 502 at once after an unnamed reply (the real answer is often right behind it).

--- a/include/eelgrassrail/http/client.hpp
+++ b/include/eelgrassrail/http/client.hpp
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace eelgrassrail
@@ -25,24 +26,38 @@
     invalid      ///< the response was malformed, truncated or too large
 };
 
+/// Whose reply arrived on a connection.
+enum class reply_owner : std::uint8_t
+{
+    named,   ///< it names this request
+    other,   ///< it names another request: a late reply, to be skipped
+    unnamed, ///< it names none; of this request only if the connection carried no other one
+};
+
 /// Options of one exchange.
 struct exchange_options
 {
     instant until;                     ///< deadline of the exchange
     std::function<bool()> may_write{}; ///< called right before writing; false gives `not_written`
     std::uint64_t label{};             ///< id for `cancel`; 0 for none
-    std::function<bool(const http_reply&)> is_answer{}; ///< false: a late reply, to be skipped
+    std::function<reply_owner(const http_reply&)> owner_of{}; ///< empty: all name this request
     millis longest_idle{millis::max()}; ///< connections idle for longer are not reused
+    /// Connections that are not used: the peer may repeat what it sent there for this request.
+    std::set<std::uint64_t> avoided{};
+    /// After a reply that names no request, on a connection that carried another one, the named
+    /// reply has to arrive within this time.
+    millis unnamed_wait{millis::max()};
 };
 
 /// Result of one exchange.
 struct http_exchange
 {
     exchange_result result{exchange_result::not_written};
-    bool reused{};     ///< an idle connection of the pool was used
-    bool refused{};    ///< the peer refused the connection: no process listens there
-    bool cancelled{};  ///< `may_write` refused, or the deadline passed while connecting
-    bool keep_alive{}; ///< the connection can carry another request
+    bool reused{};              ///< an idle connection of the pool was used
+    bool refused{};             ///< the peer refused the connection: no process listens there
+    bool cancelled{};           ///< `may_write` refused, or the deadline passed while connecting
+    bool keep_alive{};          ///< the connection can carry another request
+    std::uint64_t connection{}; ///< number of the connection, unique in the process; 0: none
     http_reply reply;
 };
 
--- a/include/eelgrassrail/router/routed_request.hpp
+++ b/include/eelgrassrail/router/routed_request.hpp
@@ -36,7 +36,10 @@
     unsigned permit_denials{}; ///< how often a worker with a rate limit had no permit for it
     bool may_have_run{};       ///< a worker may have started to run it
     std::set<std::string> refused_by; ///< ids of workers not tried again; unused for keyed services
-    std::string last_worker;          ///< id of the worker of the last attempt
+    /// Connections on which a worker refused it. It is not sent there again: a late copy of the
+    /// refusal bears the same attempt id.
+    std::set<std::uint64_t> refused_on;
+    std::string last_worker;            ///< id of the worker of the last attempt
     error_kind error{error_kind::none}; ///< why it was refused; `none` if a worker answered
 };
 
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
+#include <atomic>
 #include <charconv>
 #include <map>
 #include <vector>
@@ -70,15 +71,27 @@
 {
     explicit connection(const asio::any_io_executor& executor)
         : stream(executor)
+        , number(next_number++)
     {
     }
 
+    static inline std::atomic<std::uint64_t> next_number{1};
+
     beast::tcp_stream stream;
+    const std::uint64_t number; ///< unique in the process
     beast::flat_buffer buf;
     instant idle_since{};
     instant keep_until{}; ///< the peer may close the connection at any time after this
 };
 
+/// What the next reply on a connection has to be.
+struct reply_expectation
+{
+    instant until{};
+    bool is_head{};  ///< it has no body
+    bool is_first{}; ///< nothing but the request of this exchange can have caused it
+};
+
 /// Fraction of the peer's advertised idle timeout after which an idle connection is closed.
 constexpr double keep_alive_fraction = 0.7;
 
@@ -172,7 +185,7 @@
 
     /// Removes and returns the idle connection that was used last, as the peer is least likely to
     /// have closed it. Null if there is none, or if it is too old and a new one may be opened.
-    std::unique_ptr<connection> pop_idle(millis longest_idle)
+    std::unique_ptr<connection> pop_idle(const exchange_options& options)
     {
         const auto now = boot_clock::now();
         std::erase_if(idle,
@@ -182,25 +195,36 @@
                           open -= expired ? 1 : 0;
                           return expired;
                       });
-        while (!idle.empty())
+        const auto may_use = [&](const auto& kept)
+        { return !options.avoided.contains(kept->number); };
+        for (;;)
         {
-            const bool is_old =
-                longest_idle != millis::max() && now - idle.back()->idle_since > longest_idle;
+            const auto it = std::find_if(idle.rbegin(), idle.rend(), may_use);
+            if (it == idle.rend())
+                break;
+            const bool is_old = options.longest_idle != millis::max() &&
+                                now - (*it)->idle_since > options.longest_idle;
             if (is_old && open < max_connections)
                 return nullptr;
-            auto kept = std::move(idle.back());
-            idle.pop_back();
+            auto kept = std::move(*it);
+            idle.erase(std::prev(it.base()));
             if (!is_old && is_reusable(*kept))
                 return kept;
             --open;
         }
+        // One that is to be avoided makes room for a new one.
+        if (!idle.empty() && open >= max_connections)
+        {
+            idle.erase(idle.begin());
+            --open;
+        }
         return nullptr;
     }
 
     asio::awaitable<std::unique_ptr<connection>> connect(const exchange_options& options,
                                                          http_exchange& result)
     {
-        if (auto kept = pop_idle(options.longest_idle))
+        if (auto kept = pop_idle(options))
         {
             result.reused = true;
             co_return kept;
@@ -239,22 +263,26 @@
                                    asio::redirect_error(asio::use_awaitable, ec));
         if (ec.failed())
             co_return;
-        const bool is_head = message.method() == http::verb::head;
+        reply_expectation expected;
+        expected.until = options.until;
+        expected.is_head = message.method() == http::verb::head;
+        expected.is_first = !result.reused;
         for (std::size_t n = 0; n < max_skipped_replies; ++n)
-            if (co_await read_reply(used, is_head, options, result))
+            if (co_await read_reply(used, expected, options, result))
                 co_return;
         result.result = exchange_result::invalid;
     }
 
     /// Reads one reply.
-    /// @return false if it is interim or of an earlier exchange, so the next one is to be read
-    asio::awaitable<bool> read_reply(connection& used, bool is_head,
+    /// @return false if it is interim or not known to be of this exchange, so the next one is to be
+    /// read
+    asio::awaitable<bool> read_reply(connection& used, reply_expectation& expected,
                                      const exchange_options& options, http_exchange& result) const
     {
         beast::error_code ec;
         http::response_parser<http::string_body> parser;
         parser.body_limit(max_response_body_bytes);
-        parser.skip(is_head);
+        parser.skip(expected.is_head);
         budget_reservation memory(budget.get());
         co_await http::async_read_header(used.stream, used.buf, parser,
                                          asio::redirect_error(asio::use_awaitable, ec));
@@ -265,7 +293,7 @@
             if (!memory.grow(parser.get().body().size()))
                 ec = http::error::body_limit;
             // The stream's timer does not fire while every read completes immediately.
-            else if (!ec.failed() && !parser.is_done() && boot_clock::now() >= options.until)
+            else if (!ec.failed() && !parser.is_done() && boot_clock::now() >= expected.until)
                 ec = beast::error::timeout;
         }
         if (ec.failed())
@@ -279,14 +307,37 @@
         const bool needs_eof = parser.need_eof();
         const bool keep_alive = parser.keep_alive() && !needs_eof;
         auto reply = to_reply(parser.release());
-        if (!needs_eof &&
-            (reply.status < first_final_status || (options.is_answer && !options.is_answer(reply))))
-            co_return false;
+        if (reply.status < first_final_status)
+        {
+            result.result = needs_eof ? exchange_result::invalid : exchange_result::lost;
+            co_return needs_eof;
+        }
+        const auto owner = options.owner_of ? options.owner_of(reply) : reply_owner::named;
+        if (owner == reply_owner::other || (owner == reply_owner::unnamed && !expected.is_first))
+        {
+            skip(used, owner, expected, options);
+            // After the end of the stream no other reply can follow.
+            result.result = needs_eof ? exchange_result::invalid : exchange_result::lost;
+            co_return needs_eof;
+        }
         result.result = exchange_result::complete;
-        result.keep_alive = keep_alive && used.buf.size() == 0;
+        // A copy of an unnamed reply could not be told from the next request's.
+        result.keep_alive = keep_alive && used.buf.size() == 0 && owner == reply_owner::named;
         result.reply = std::move(reply);
         co_return true;
     }
+
+    /// Notes a reply that is not known to be of this exchange.
+    static void skip(connection& used, reply_owner owner, reply_expectation& expected,
+                     const exchange_options& options)
+    {
+        expected.is_first = false;
+        const auto now = boot_clock::now();
+        if (owner != reply_owner::unnamed || options.unnamed_wait >= expected.until - now)
+            return;
+        expected.until = now + options.unnamed_wait;
+        used.stream.expires_after(options.unnamed_wait);
+    }
 };
 
 http_client::http_client(asio::any_io_executor executor, const std::string& address,
@@ -316,6 +367,7 @@
     auto used = co_await self->connect(options, result);
     if (!used)
         co_return result;
+    result.connection = used->number;
     if ((options.may_write && !options.may_write()) || boot_clock::now() >= options.until)
     {
         self->idle.push_back(std::move(used));
--- a/src/router/request_fields.cpp
+++ b/src/router/request_fields.cpp
@@ -111,10 +111,14 @@
     return error_kind::none;
 }
 
-bool is_answer_to(const routed_request& request, const wire_format& format, const http_reply& reply)
+reply_owner owner_of(const routed_request& request, const wire_format& format,
+                     const http_reply& reply)
 {
     const auto id = find_field(reply.fields, format.attempt_id);
-    return !id || *id == request.attempt_id;
+    // Workers do not run a request without an id, so none of their replies can be wrong for it.
+    if (!id)
+        return request.attempt_id.empty() ? reply_owner::named : reply_owner::unnamed;
+    return *id == request.attempt_id ? reply_owner::named : reply_owner::other;
 }
 
 reply_kind classify(const routed_request& request, const wire_format& format,
@@ -129,6 +133,8 @@
     if (exchange.result == exchange_result::invalid)
         return reply_kind::invalid;
     const auto& reply = exchange.reply;
+    if (owner_of(request, format, reply) == reply_owner::other)
+        return reply_kind::invalid;
     if (reply.status == misdirected)
         return reply_kind::wrong_owner;
     if (find_field(reply.fields, format.not_executed))
--- a/src/router/request_fields.hpp
+++ b/src/router/request_fields.hpp
@@ -51,11 +51,12 @@
 /// @return `none`, or why the request cannot be routed
 [[nodiscard]] error_kind parse_request(routed_request& request, const router_state& state);
 
-/// @brief Whether a reply on the connection belongs to the request. A reply without an attempt id
-/// is taken to belong to it.
-[[nodiscard]] bool is_answer_to(const routed_request& request, const wire_format& format,
-                                const http_reply& reply);
+/// @brief Whose reply arrived on a worker's connection, by the attempt id that it bears.
+[[nodiscard]] reply_owner owner_of(const routed_request& request, const wire_format& format,
+                                   const http_reply& reply);
 
+/// @brief What the end of an exchange implies. A reply that bears another attempt's id says nothing
+/// about this request.
 [[nodiscard]] reply_kind classify(const routed_request& request, const wire_format& format,
                                   const http_exchange& exchange);
 
--- a/src/router/request_forwarder.cpp
+++ b/src/router/request_forwarder.cpp
@@ -31,6 +31,11 @@
 
 constexpr double newest_weight = 0.05;
 
+/// After a reply without an attempt id that may be of an earlier request, the worker's reply to
+/// this one is awaited for so many typical run times. Then it is unknown whether the request has
+/// run.
+constexpr double unnamed_wait_factor = 3.0;
+
 /// A new connection that is reset within this time was rejected by the worker. It covers a round
 /// trip and the scheduling delays of a small VM.
 constexpr millis immediate_reset_threshold{50};
@@ -188,8 +193,11 @@
     const auto label = m_next_label++;
     options.label = label;
     options.may_write = [watch = request.watch] { return !watch->is_gone(); };
-    options.is_answer = [&](const http_reply& reply)
-    { return is_answer_to(request, m_state.format, reply); };
+    options.owner_of = [&](const http_reply& reply)
+    { return owner_of(request, m_state.format, reply); };
+    options.unnamed_wait =
+        millis(static_cast<std::int64_t>(unnamed_wait_factor * typical_ms(request.service)));
+    options.avoided = request.refused_on;
     if (!request.matched_route->is_idempotent && started_at < m_last_idle_reset + idle_reset_window)
         options.longest_idle = max_safe_idle_time;
     if (request.matched_route->is_idempotent)
@@ -225,11 +233,15 @@
         typical += (static_cast<double>(took.count()) - typical) * newest_weight;
     }
     if (kind != reply_kind::answer)
-        log_info(log_part::dispatch, "not answered attempt=" + request.attempt_id + " worker=" +
-                                         entry.life.id + " end=" + std::string(name_of(kind)) +
-                                         " status=" + std::to_string(exchange.reply.status) +
-                                         " reused=" + std::to_string(exchange.reused ? 1 : 0) +
-                                         " ms=" + std::to_string(took.count()));
+        log_info(log_part::dispatch,
+                 "not answered attempt=" + request.attempt_id + " worker=" + entry.life.id +
+                     " end=" + std::string(name_of(kind)) +
+                     " status=" + std::to_string(exchange.reply.status) +
+                     " reused=" + std::to_string(exchange.reused ? 1 : 0) + " named=" +
+                     (find_field(exchange.reply.fields, m_state.format.attempt_id) ? "1" : "0") +
+                     " ms=" + std::to_string(took.count()));
+    if (kind == reply_kind::not_executed || kind == reply_kind::wrong_owner)
+        request.refused_on.insert(exchange.connection);
     switch (kind)
     {
     case reply_kind::answer:
--- a/tests/src/unit-client.cpp
+++ b/tests/src/unit-client.cpp
@@ -239,8 +239,10 @@
                         call.target = "/";
                         call.fields.push_back({"Id", id});
                         exchange_options options{.until = boot_clock::now() + exchange_timeout};
-                        options.is_answer = [id](const http_reply& reply)
-                        { return find_field(reply.fields, "Id") == id; };
+                        options.owner_of = [id](const http_reply& reply) {
+                            return find_field(reply.fields, "Id") == id ? reply_owner::named
+                                                                        : reply_owner::other;
+                        };
                         const auto exchange =
                             co_await client.exchange(std::move(call), std::move(options));
                         CPPUNIT_ASSERT(exchange.result == exchange_result::complete);
--- a/tests/src/unit-faulty_workers.cpp
+++ b/tests/src/unit-faulty_workers.cpp
@@ -98,9 +98,9 @@
         http_call call;
         call.method = target.starts_with("/look") ? "GET" : "DELETE"; // no body
         call.target = std::move(target);
-        call.fields = {{"Host", "h"},
-                       {"Eelgrassrail-Attempt-Id", std::move(attempt)},
-                       {"Eelgrassrail-Deadline-Ms", "1500"}};
+        call.fields = {{"Host", "h"}, {"Eelgrassrail-Deadline-Ms", "1500"}};
+        if (!attempt.empty())
+            call.fields.push_back({"Eelgrassrail-Attempt-Id", std::move(attempt)});
         if (call.target.starts_with("/file"))
             call.fields.push_back({"Eelgrassrail-Shard-Key", "7"});
         co_return co_await forwarder.serve(std::move(call), std::make_shared<caller_watch>());
@@ -190,6 +190,8 @@
     CPPUNIT_TEST(a_copy_of_the_own_refusal_is_no_answer_to_the_second_sending);
     CPPUNIT_TEST(a_refusal_without_an_id_on_a_new_connection_counts);
     CPPUNIT_TEST(a_refusal_with_the_own_id_counts);
+    CPPUNIT_TEST(a_refusal_without_an_id_and_no_answer_is_unknown);
+    CPPUNIT_TEST(a_request_without_an_id_is_refused_on_any_connection);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -305,6 +307,31 @@
         CPPUNIT_ASSERT_EQUAL(503U, replies[1].status);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), worker.connections());
     }
+
+    /// Guards against a wait until the deadline after a refusal that may be of an earlier request.
+    void a_refusal_without_an_id_and_no_answer_is_unknown()
+    {
+        faulty_cluster cluster;
+        cluster.add_worker(false, [](const byte_request& request)
+                           { return request.nth == 0 ? runs(request.attempt) : refuses(503, {}); });
+        const auto began = boot_clock::now();
+        const auto replies = cluster.run("/book/x", {"a", "b"});
+        constexpr millis longest{1'000}; // the deadline is 1,500 ms
+        CPPUNIT_ASSERT(boot_clock::now() - began < longest);
+        CPPUNIT_ASSERT_EQUAL(502U, replies[1].status);
+    }
+
+    /// Workers refuse a request without an id, and their refusal can not bear one.
+    void a_request_without_an_id_is_refused_on_any_connection()
+    {
+        faulty_cluster cluster;
+        cluster.add_worker(
+            false, [](const byte_request& request)
+            { return request.attempt.empty() ? refuses(400, {}) : runs(request.attempt); });
+        const auto replies = cluster.run("/book/x", {"a", "", "b"});
+        CPPUNIT_ASSERT_EQUAL(503U, replies[1].status);
+        CPPUNIT_ASSERT_EQUAL(200U, replies[2].status);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(unit_faulty_workers);
--- a/tests/src/unit-router_state.cpp
+++ b/tests/src/unit-router_state.cpp
@@ -258,6 +258,9 @@
         CPPUNIT_ASSERT(kind(500, {own, sign}) == reply_kind::answer);
         CPPUNIT_ASSERT(kind(503, {{names.not_executed, "1"}}) == reply_kind::not_executed);
         CPPUNIT_ASSERT(kind(421, {}) == reply_kind::wrong_owner);
+        CPPUNIT_ASSERT(kind(421, {other}) == reply_kind::invalid);
+        CPPUNIT_ASSERT(kind(503, {other, {names.not_executed, "1"}}) == reply_kind::invalid);
+        CPPUNIT_ASSERT(kind(500, {other, sign}) == reply_kind::invalid);
         CPPUNIT_ASSERT(kind(503, {}) == reply_kind::invalid); // not marked as not executed
         http_exchange lost;
         lost.result = exchange_result::lost;
@@ -270,9 +273,11 @@
         routed_request request;
         request.attempt_id = "x";
         http_reply reply;
-        CPPUNIT_ASSERT(is_answer_to(request, names, reply));
+        CPPUNIT_ASSERT(owner_of(request, names, reply) == reply_owner::unnamed);
         reply.fields.push_back({names.attempt_id, "y"});
-        CPPUNIT_ASSERT(!is_answer_to(request, names, reply));
+        CPPUNIT_ASSERT(owner_of(request, names, reply) == reply_owner::other);
+        reply.fields.back().value = "x";
+        CPPUNIT_ASSERT(owner_of(request, names, reply) == reply_owner::named);
     }
 
     void connection_fields_are_not_passed_on()
--- a/tests/standins/worker_standin.cpp
+++ b/tests/standins/worker_standin.cpp
@@ -118,6 +118,9 @@
                   << m_arrivals.back() << '\n'
                   << std::flush;
     auto reply = co_await run(call);
+    const auto attempt = find_field(call.fields, attempt_id_field);
+    if (attempt && !find_field(reply.fields, attempt_id_field)) // refusals bear it too
+        reply.fields.push_back({attempt_id_field, std::string(*attempt)});
     if (!m_rate_limit.empty())
         reply.fields.push_back({"Server-Limit", m_rate_limit});
     co_return reply;
