Red: a repeatable request that may have run is refused as not run; no part of an answer counts

Callers: other operators report a 200 with an empty or short body, framed as whole, after a worker stopped in the middle of its answer's head (MIXED). Cause: that can't happen here. The parser takes the end of the stream inside a head, a body with a length or a body in chunks for an error. But a repeatable request whose only worker broke off was told 503: no worker was left, and the refusal did not look at what had been sent. Change: tests only. Every part of four kinds of answers (length, chunks, after an interim reply, a refusal) and of a head without length, followed by a close or a reset, on a new and on a used connection: always 502, run once.

--- a/tests/src/unit-faulty_workers.cpp
+++ b/tests/src/unit-faulty_workers.cpp
@@ -127,7 +127,9 @@
     }
 
     /// Sends the requests one after the other and checks each.
-    std::vector<http_reply> run(const std::string& target, const std::vector<std::string>& attempts)
+    /// @param settle time after the last reply in which workers may still receive a request
+    std::vector<http_reply> run(const std::string& target, const std::vector<std::string>& attempts,
+                                millis settle = millis(100))
     {
         std::vector<http_reply> replies;
         std::exception_ptr failure;
@@ -137,8 +139,7 @@
             {
                 for (const auto& attempt : attempts)
                     replies.push_back(co_await request(target, attempt));
-                // Runs that were started meanwhile count too.
-                asio::steady_timer timer(context, millis(100));
+                asio::steady_timer timer(context, settle);
                 co_await timer.async_wait(asio::use_awaitable);
             },
             [&](const std::exception_ptr& thrown)
@@ -192,6 +193,9 @@
     CPPUNIT_TEST(a_refusal_with_the_own_id_counts);
     CPPUNIT_TEST(a_refusal_without_an_id_and_no_answer_is_unknown);
     CPPUNIT_TEST(a_request_without_an_id_is_refused_on_any_connection);
+    CPPUNIT_TEST(no_part_of_an_answer_counts);
+    CPPUNIT_TEST(no_part_of_an_answer_counts_on_a_used_connection);
+    CPPUNIT_TEST(a_repeatable_request_that_may_have_run_is_not_refused_as_not_run);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -332,6 +336,89 @@
         CPPUNIT_ASSERT_EQUAL(503U, replies[1].status);
         CPPUNIT_ASSERT_EQUAL(200U, replies[2].status);
     }
+
+    /// Guards against MIXED and REFUSED: an answer that stops anywhere, in its head too, is neither
+    /// a success nor a promise. Each part of each kind of answer, followed by a close or a reset.
+    void no_part_of_an_answer_counts()
+    {
+        for (const auto& whole : answers_of("a"))
+            for (std::size_t n = 0; n < whole.size(); ++n)
+                for (const auto end : {byte_end::close, byte_end::reset})
+                    check_part(whole, n, end, {"a"});
+        // A body may end with its connection; a head may not.
+        const std::string head = head_of("a") + "\r\n";
+        for (std::size_t n = 0; n < head.size(); ++n)
+            check_part(head, n, byte_end::close, {"a"});
+    }
+
+    /// Guards against the same on a connection that has carried an answer before.
+    void no_part_of_an_answer_counts_on_a_used_connection()
+    {
+        for (const auto& whole : answers_of("b"))
+            for (std::size_t n = 0; n < whole.size(); ++n)
+                check_part(whole, n, byte_end::close, {"a", "b"});
+    }
+
+    /// Guards against an untrue promise: the only worker broke off, so no worker was left, and the
+    /// caller was told 503.
+    void a_repeatable_request_that_may_have_run_is_not_refused_as_not_run()
+    {
+        faulty_cluster cluster;
+        cluster.add_worker(false, [](const byte_request& request)
+                           { return part_of(answer_bytes(request.attempt), 20, byte_end::close); });
+        const auto replies = cluster.run("/look/x", {"a"});
+        CPPUNIT_ASSERT_EQUAL(502U, replies[0].status);
+    }
+
+  private:
+    /// The head of an answer, without the line that ends it.
+    static std::string head_of(const std::string& attempt)
+    {
+        return "HTTP/1.1 200 OK\r\nEelgrassrail-Attempt-Id: " + attempt +
+               "\r\nEelgrassrail-Server-Signature: s\r\n";
+    }
+
+    /// An answer with a length, one in chunks, one after an interim reply, and a refusal.
+    static std::vector<std::string> answers_of(const std::string& attempt)
+    {
+        return {answer_bytes(attempt),
+                head_of(attempt) +
+                    "Transfer-Encoding: chunked\r\n\r\n6\r\nanswer\r\n5\r\n to a\r\n0\r\n\r\n",
+                "HTTP/1.1 100 Continue\r\n\r\n" + answer_bytes(attempt),
+                refusal_bytes(503, attempt)};
+    }
+
+    static byte_answer part_of(const std::string& whole, std::size_t length, byte_end end)
+    {
+        constexpr millis delivery{2}; // a reset may overtake bytes that were not read yet
+        byte_answer answer;
+        answer.steps.push_back({whole.substr(0, length), {}});
+        if (end == byte_end::reset)
+            answer.steps.push_back({{}, delivery});
+        answer.end = end;
+        answer.is_run = true;
+        return answer;
+    }
+
+    /// All attempts but the last one are answered; the last one gets a part of an answer.
+    static void check_part(const std::string& whole, std::size_t length, byte_end end,
+                           const std::vector<std::string>& attempts)
+    {
+        faulty_cluster cluster;
+        cluster.add_worker(false,
+                           [&](const byte_request& request)
+                           {
+                               auto answer = part_of(whole, length, end);
+                               if (request.attempt == attempts.back())
+                                   return answer;
+                               answer.steps = {byte_step{answer_bytes(request.attempt), {}}};
+                               answer.end = byte_end::keep;
+                               return answer;
+                           });
+        const auto replies = cluster.run("/book/x", attempts, {});
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(whole.substr(0, length) + "|", 502U, replies.back().status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), cluster.runs_of(attempts.back()));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(unit_faulty_workers);
