A request that may have run is never refused as not run

Callers: a repeatable request was told 503, a promise that it was not and never will be run, after a worker had broken off its answer. Cause: with no worker left, refuse() took the kind of the refusal from the state of the workers only. Change: refuse() ends a request that may have run as server-lost (502, unknown), whatever the reason. It bears no Retry-After, as before for unknown ends.

--- a/src/router/request_forwarder.cpp
+++ b/src/router/request_forwarder.cpp
@@ -394,8 +394,11 @@
     return text;
 }
 
+/// A refusal of a request that may have run does not say that it was not run, whatever its reason.
 http_reply request_forwarder::refuse(routed_request& request, error_kind kind, double wait_ms)
 {
+    if (request.may_have_run && describe(kind).result == outcome::not_run)
+        kind = error_kind::server_lost;
     std::uniform_real_distribution<double> jitter(0.7, 1.3);
     m_state.counters.count("refused_" + std::string(name_of(kind)));
     request.error = kind;
