Red: requests that arrive late in a planned stop are passed on and cut

Callers: other operators report requests that came late in the grace of a planned stop, were passed on and got no answer at its end (LOST). Cause: a stopping process passes on whatever it reads until the listener stops (2.6 s), whatever its time limit; and later what was half read then. At the end of the grace, less 0.7 s, all that still runs is cut. Besides, a request that is in the socket when the listener stops is read and thrown away. Ruled out: readiness says 503 from the SIGTERM on, responses bear Connection: close, idle connections and the listener close at 2.6 s.

--- a/tests/src/unit-listener.cpp
+++ b/tests/src/unit-listener.cpp
@@ -2,6 +2,8 @@
 #include <eelgrassrail/http/listener.hpp>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -66,6 +68,7 @@
     CPPUNIT_TEST(a_close_is_seen_before_the_loop_turns);
     CPPUNIT_TEST(a_reset_is_seen_before_the_loop_turns);
     CPPUNIT_TEST(bytes_of_a_next_request_are_no_close);
+    CPPUNIT_TEST(a_request_that_arrived_before_the_stop_is_answered);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -95,5 +98,36 @@
         CPPUNIT_ASSERT(!busy_listener().detects_disconnect_after(
             [](auto& caller) { asio::write(caller, asio::buffer(get_request)); }));
     }
+
+    /// Guards against a request that was read and thrown away: it arrived on an idle connection
+    /// just before the listener was stopped, and the loop had not turned since.
+    void a_request_that_arrived_before_the_stop_is_answered()
+    {
+        constexpr unsigned short port = 20'191;
+        constexpr std::chrono::milliseconds connect_time{100};
+        constexpr std::chrono::milliseconds delivery_time{20}; // on loopback
+        constexpr std::chrono::seconds longest{2};
+        asio::io_context context;
+        http_listener listener(
+            context.get_executor(), {asio::ip::make_address("127.0.0.1"), port}, {},
+            [](http_call, const auto&) -> asio::awaitable<http_reply> { co_return http_reply{}; },
+            [](bool, bool) { return http_reply{}; });
+        listener.start();
+        asio::io_context callers;
+        asio::ip::tcp::socket caller(callers);
+        caller.connect({asio::ip::make_address("127.0.0.1"), port});
+        context.run_for(connect_time);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), listener.connections());
+        asio::write(caller, asio::buffer(get_request));
+        asio::steady_timer(callers, delivery_time).wait();
+        listener.stop();
+        context.run_for(longest);
+        std::string received;
+        boost::system::error_code ec;
+        asio::read(caller, asio::dynamic_buffer(received), ec);
+        CPPUNIT_ASSERT_MESSAGE("got |" + received + "|", received.starts_with("HTTP/1.1 200"));
+        CPPUNIT_ASSERT_MESSAGE(received, received.find("Connection: close") != std::string::npos);
+        CPPUNIT_ASSERT(ec == asio::error::eof);
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(unit_listener);
