Planned stop: pass on only what is answered before the process ends

Change: stop_plan holds the times of a stop. A request is passed on if its time limit ends before the last answers are given, or if callers still come (2.6 s) and six typical run times of its service fit in. Others are refused at once: 503, Retry-After 50 ms, Connection: close; that is true, as nothing was sent. It is looked at again after each wait and before each repeat; a wait for an owner ends in time for an answer. The end is the grace less 0.7 s, or less an eighth of a shorter grace, so that it lies in the last sixth. The listener answers a request that was in the socket when it stopped, and resets one that crosses the close of an idle connection: it used to read and drop it. Ruled out: keeping idle connections open to answer 503 until the end: a request would still cross the close, only later. Passing a shorter time limit to the worker: the run is wasted, the caller gets a failure with time left. An own answer for what is cut at the end: the rule counts it the same. Not covered: a request sent in the first 2.6 s that runs for over six typical times and past the end of the grace is still cut, in its last sixth, as the platform's rule allows for requests sent up to 3 s after the SIGTERM.

--- a/include/eelgrassrail/router/request_forwarder.hpp
+++ b/include/eelgrassrail/router/request_forwarder.hpp
@@ -7,12 +7,14 @@
 #include <eelgrassrail/requests/retry_budget.hpp>
 #include <eelgrassrail/router/permit_client.hpp>
 #include <eelgrassrail/router/router_state.hpp>
+#include <eelgrassrail/router/stop_plan.hpp>
 #include <eelgrassrail/router/worker_links.hpp>
 #include <eelgrassrail/routing/admission.hpp>
 #include <eelgrassrail/routing/split_chooser.hpp>
 #include <eelgrassrail/routing/worker_choice.hpp>
 
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -40,6 +42,9 @@
     /// @brief Adds crash reports of other processes to the quarantine.
     void apply_crash_reports(const std::vector<crash_report>& crashes, instant now);
 
+    /// @brief From now on requests that could be cut by the end of the process are refused.
+    void begin_stop(const stop_plan& plan);
+
     /// @brief Number of requests being served.
     [[nodiscard]] std::size_t in_flight() const noexcept { return m_in_flight; }
 
@@ -52,6 +57,7 @@
 
     [[nodiscard]] bool can_still_send(const routed_request& request,
                                       const worker_incarnation& worker) const;
+    [[nodiscard]] bool may_pass_on(const routed_request& request, instant now) const;
     [[nodiscard]] static bool is_urgent(const routed_request& request);
     [[nodiscard]] const known_worker* select_worker(routed_request& request, double& wait_ms);
     [[nodiscard]] const known_worker* select_owner(routed_request& request, double& wait_ms) const;
@@ -89,6 +95,7 @@
     std::size_t m_in_flight{};
     instant m_last_idle_reset{}; ///< last reset of a reused idle connection
     std::uint64_t m_next_label{1};
+    std::optional<stop_plan> m_stop; ///< set once the process is stopping
 };
 
 } // namespace eelgrassrail
--- a/src/http/listener.cpp
+++ b/src/http/listener.cpp
@@ -196,11 +196,20 @@
         idle.insert(&stream);
         stream.expires_after(limits.idle_timeout);
         constexpr std::size_t chunk = 4096;
-        const auto n = co_await stream.async_read_some(
-            buf.prepare(chunk), asio::redirect_error(asio::use_awaitable, ec));
+        auto n = co_await stream.async_read_some(buf.prepare(chunk),
+                                                 asio::redirect_error(asio::use_awaitable, ec));
         idle.erase(&stream);
+        beast::error_code ignored;
+        // A request that arrived before the listener was stopped is answered.
+        if (ec == asio::error::operation_aborted && stream.socket().available(ignored) > 0)
+            n = co_await stream.async_read_some(buf.prepare(chunk),
+                                                asio::redirect_error(asio::use_awaitable, ec));
         if (ec.failed())
+        {
+            // Nothing was read: a request that crosses the close is reset, not read and dropped.
+            stream.close();
             co_return false;
+        }
         buf.commit(n);
     }
     http::request_parser<http::string_body> parser;
--- a/src/router/request_forwarder.cpp
+++ b/src/router/request_forwarder.cpp
@@ -44,6 +44,9 @@
 /// More of them, with no answer from the zone in between, mean that the zone is unreachable.
 constexpr std::size_t max_unreached_workers = 5;
 
+/// A caller that is refused by a process that stops may go to another one at once.
+constexpr millis other_process_wait{50};
+
 constexpr std::size_t max_key_samples = 512; ///< per service in one report
 
 } // namespace
@@ -59,6 +62,13 @@
 {
 }
 
+/// Requests that wait for an owner look at the plan too.
+void request_forwarder::begin_stop(const stop_plan& plan)
+{
+    m_stop = plan;
+    m_state.changed.notify();
+}
+
 asio::awaitable<http_reply> request_forwarder::serve(http_call call,
                                                      std::shared_ptr<caller_watch> watch)
 {
@@ -115,11 +125,15 @@
         co_return refuse(
             request,
             request.may_have_run ? error_kind::deadline_while_running : error_kind::overloaded, 0);
+    if (!may_pass_on(request, now))
+        co_return refuse(request, error_kind::stopping, ms(other_process_wait));
     double wait_ms = 0;
     const auto* worker = select_worker(request, wait_ms);
     if (worker == nullptr && request.key && wait_ms == 0)
     {
-        const auto until = std::min(request.deadline, owner_wait_deadline(request));
+        auto until = std::min(request.deadline, owner_wait_deadline(request));
+        if (m_stop)
+            until = std::min(until, m_stop->answers_until());
         if (now >= until)
             co_return refuse(request, error_kind::no_owner, ms(owner_wait_timeout));
         co_await m_state.changed.wait(until - now);
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -41,11 +41,6 @@
 /// the deadline for putting a change in force.
 constexpr millis stale_age{1'600};
 
-/// The load balancer checks readiness once a second and removes a process after two failures.
-constexpr millis balancer_removal_time{2'600};
-
-/// Part of the stop timeout reserved for the exit of the process.
-constexpr millis stop_margin{700};
 constexpr millis stop_poll_interval{50};
 
 /// Links to workers that are unused for this time are closed.
@@ -361,17 +356,17 @@
 
 asio::awaitable<void> router_process::stop()
 {
-    const auto started_at = boot_clock::now();
+    const stop_plan plan(boot_clock::now(), m_state.settings.stop_timeout);
     log_info(log_part::entry, "stop begins in_flight=" + std::to_string(m_forwarder.in_flight()));
+    m_forwarder.begin_stop(plan);
     m_callers.drain();
     co_await m_coordinator.resign();
-    const auto accepts_until = started_at + balancer_removal_time;
-    const auto ends_by = started_at + m_state.settings.stop_timeout - stop_margin;
-    while (boot_clock::now() < std::min(accepts_until, ends_by))
+    while (boot_clock::now() < plan.accepts_until())
         co_await pause(stop_poll_interval);
     m_callers.stop();
     // A request that was just read may not be counted as in flight yet.
-    while (m_forwarder.in_flight() + m_callers.connections() > 0 && boot_clock::now() < ends_by)
+    while (m_forwarder.in_flight() + m_callers.connections() > 0 &&
+           boot_clock::now() < plan.cuts_at())
         co_await pause(stop_poll_interval);
     log_info(log_part::entry, "stopped in_flight=" + std::to_string(m_forwarder.in_flight()));
     // Let the context send the answers that were just written.
--- a/src/router/worker_selection.cpp
+++ b/src/router/worker_selection.cpp
@@ -4,6 +4,7 @@
 #include <eelgrassrail/router/routed_request.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <random>
 
 namespace eelgrassrail
@@ -105,8 +106,9 @@
                                        const worker_incarnation& worker) const
 {
     const auto* known = m_state.workers.find(worker.id);
+    const auto now = boot_clock::now();
     if (known == nullptr || !known->accepts_work() || known->entry.life != worker ||
-        boot_clock::now() >= request.deadline || request.watch->is_gone())
+        now >= request.deadline || request.watch->is_gone() || !may_pass_on(request, now))
         return false;
     if (!request.settings->is_sharded)
         return true;
@@ -115,6 +117,13 @@
            map->second.find(*request.key).owner == worker;
 }
 
+/// Whether the process does not end before the request is answered.
+bool request_forwarder::may_pass_on(const routed_request& request, instant now) const
+{
+    return !m_stop || m_stop->may_pass_on(now, request.deadline,
+                                          millis(std::llround(typical_ms(request.service))));
+}
+
 /// Whether there are routes of lower priority, whose requests leave room for this one.
 bool request_forwarder::is_urgent(const routed_request& request)
 {
--- a/tests/src/session-planned_stops.cpp
+++ b/tests/src/session-planned_stops.cpp
@@ -232,7 +232,7 @@
     void a_request_that_may_outlast_the_grace_is_refused_at_once()
     {
         stopped_router stopped(1'500);
-        constexpr millis at{2'400};
+        constexpr millis at{2'500};
         const auto& unsafe = stopped.add_caller({{at, hold_request("a", millis(6'000))}});
         // Its time limit ends before the grace does.
         const auto& brief = stopped.add_caller({{at, hold_request("b", millis(500))}});
--- a/tests/src/unit-faulty_workers.cpp
+++ b/tests/src/unit-faulty_workers.cpp
@@ -196,6 +196,7 @@
     CPPUNIT_TEST(no_part_of_an_answer_counts);
     CPPUNIT_TEST(no_part_of_an_answer_counts_on_a_used_connection);
     CPPUNIT_TEST(a_repeatable_request_that_may_have_run_is_not_refused_as_not_run);
+    CPPUNIT_TEST(a_request_that_waited_is_not_passed_on_late_in_a_stop);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -370,6 +371,35 @@
         CPPUNIT_ASSERT_EQUAL(502U, replies[0].status);
     }
 
+    /// Guards against LOST: a request that waited for an owner of its key was passed on when it was
+    /// too late in a planned stop.
+    void a_request_that_waited_is_not_passed_on_late_in_a_stop()
+    {
+        faulty_cluster cluster;
+        auto& worker = cluster.add_worker(true, [](const byte_request& request)
+                                          { return runs(request.attempt); });
+        slice_change moved;
+        moved.version = 2;
+        moved.service = "keys";
+        moved.slice = {0, key_count - 1, {"w1", 1}, false, {}, {}};
+        cluster.state.apply_slice(moved);
+        // Callers are accepted for 50 ms more; the process ends 1,300 ms from now.
+        cluster.forwarder.begin_stop({boot_clock::now() - millis(2'550), millis(4'400)});
+        asio::steady_timer timer(cluster.context, millis(150));
+        timer.async_wait(
+            [&](const boost::system::error_code&)
+            {
+                moved.version = 3;
+                moved.slice.is_ready = true;
+                cluster.state.apply_slice(moved);
+                cluster.state.changed.notify();
+            });
+        const auto replies = cluster.run("/file/x", {"a"});
+        CPPUNIT_ASSERT_EQUAL(503U, replies[0].status);
+        CPPUNIT_ASSERT(find_field(replies[0].fields, "Error-Kind") == "stopping");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), worker.received());
+    }
+
   private:
     /// The head of an answer, without the line that ends it.
     static std::string head_of(const std::string& attempt)
--- a/tests/src/unit-listener.cpp
+++ b/tests/src/unit-listener.cpp
@@ -59,6 +59,35 @@
     static constexpr std::chrono::seconds test_timeout{5};
 };
 
+/// A listener with one idle connection.
+struct idle_caller
+{
+    static constexpr unsigned short port = 20'191;
+    static constexpr std::chrono::milliseconds turn{100};
+    static constexpr std::chrono::milliseconds delivery_time{20}; ///< on loopback
+    static constexpr std::chrono::seconds longest{2};
+
+    idle_caller()
+        : listener(
+              context.get_executor(), {asio::ip::make_address("127.0.0.1"), port}, {},
+              [](http_call, const auto&) -> asio::awaitable<http_reply> { co_return http_reply{}; },
+              [](bool, bool) { return http_reply{}; })
+        , caller(callers)
+    {
+        listener.start();
+        caller.connect({asio::ip::make_address("127.0.0.1"), port});
+        context.run_for(turn);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), listener.connections());
+    }
+
+    void wait_for_delivery() { asio::steady_timer(callers, delivery_time).wait(); }
+
+    asio::io_context context;
+    http_listener listener;
+    asio::io_context callers;
+    asio::ip::tcp::socket caller;
+};
+
 } // namespace
 
 class unit_listener : public CppUnit::TestFixture
@@ -69,6 +98,7 @@
     CPPUNIT_TEST(a_reset_is_seen_before_the_loop_turns);
     CPPUNIT_TEST(bytes_of_a_next_request_are_no_close);
     CPPUNIT_TEST(a_request_that_arrived_before_the_stop_is_answered);
+    CPPUNIT_TEST(a_request_that_crosses_the_close_is_not_read);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -103,31 +133,33 @@
     /// just before the listener was stopped, and the loop had not turned since.
     void a_request_that_arrived_before_the_stop_is_answered()
     {
-        constexpr unsigned short port = 20'191;
-        constexpr std::chrono::milliseconds connect_time{100};
-        constexpr std::chrono::milliseconds delivery_time{20}; // on loopback
-        constexpr std::chrono::seconds longest{2};
-        asio::io_context context;
-        http_listener listener(
-            context.get_executor(), {asio::ip::make_address("127.0.0.1"), port}, {},
-            [](http_call, const auto&) -> asio::awaitable<http_reply> { co_return http_reply{}; },
-            [](bool, bool) { return http_reply{}; });
-        listener.start();
-        asio::io_context callers;
-        asio::ip::tcp::socket caller(callers);
-        caller.connect({asio::ip::make_address("127.0.0.1"), port});
-        context.run_for(connect_time);
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), listener.connections());
-        asio::write(caller, asio::buffer(get_request));
-        asio::steady_timer(callers, delivery_time).wait();
-        listener.stop();
-        context.run_for(longest);
+        idle_caller it;
+        asio::write(it.caller, asio::buffer(get_request));
+        it.wait_for_delivery();
+        it.listener.stop();
+        it.context.run_for(idle_caller::longest);
         std::string received;
         boost::system::error_code ec;
-        asio::read(caller, asio::dynamic_buffer(received), ec);
+        asio::read(it.caller, asio::dynamic_buffer(received), ec);
         CPPUNIT_ASSERT_MESSAGE("got |" + received + "|", received.starts_with("HTTP/1.1 200"));
         CPPUNIT_ASSERT_MESSAGE(received, received.find("Connection: close") != std::string::npos);
         CPPUNIT_ASSERT(ec == asio::error::eof);
     }
+
+    /// Guards against a request that was read and thrown away: it was sent while the listener
+    /// closed its idle connection. A reset shows the caller that it was not read.
+    void a_request_that_crosses_the_close_is_not_read()
+    {
+        idle_caller it;
+        it.listener.stop();
+        it.context.run_for(idle_caller::turn);
+        boost::system::error_code ec;
+        asio::write(it.caller, asio::buffer(get_request), ec);
+        it.wait_for_delivery();
+        it.context.restart();
+        it.context.run_for(idle_caller::turn);
+        asio::write(it.caller, asio::buffer(get_request), ec);
+        CPPUNIT_ASSERT(ec.failed());
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(unit_listener);
