--- a/src/router/request_forwarder.cpp
+++ b/src/router/request_forwarder.cpp
@@ -31,6 +31,11 @@
 
 constexpr double newest_weight = 0.05;
 
+/// After a reply without an attempt id that may be of an earlier request, the worker's reply to
+/// this one is awaited for so many typical run times. Then it is unknown whether the request has
+/// run.
+constexpr double unnamed_wait_factor = 3.0;
+
 /// A new connection that is reset within this time was rejected by the worker. It covers a round
 /// trip and the scheduling delays of a small VM.
 constexpr millis immediate_reset_threshold{50};
@@ -39,6 +44,9 @@
 /// More of them, with no answer from the zone in between, mean that the zone is unreachable.
 constexpr std::size_t max_unreached_workers = 5;
 
+/// A caller that is refused by a process that stops may go to another one at once.
+constexpr millis other_process_wait{50};
+
 constexpr std::size_t max_key_samples = 512; ///< per service in one report
 
 } // namespace
@@ -54,6 +62,13 @@
 {
 }
 
+/// Requests that wait for an owner look at the plan too.
+void request_forwarder::begin_stop(const stop_plan& plan)
+{
+    m_stop = plan;
+    m_state.changed.notify();
+}
+
 asio::awaitable<http_reply> request_forwarder::serve(http_call call,
                                                      std::shared_ptr<caller_watch> watch)
 {
@@ -110,11 +125,15 @@
         co_return refuse(
             request,
             request.may_have_run ? error_kind::deadline_while_running : error_kind::overloaded, 0);
+    if (!may_pass_on(request, now))
+        co_return refuse(request, error_kind::stopping, ms(other_process_wait));
     double wait_ms = 0;
     const auto* worker = select_worker(request, wait_ms);
     if (worker == nullptr && request.key && wait_ms == 0)
     {
-        const auto until = std::min(request.deadline, owner_wait_deadline(request));
+        auto until = std::min(request.deadline, owner_wait_deadline(request));
+        if (m_stop)
+            until = std::min(until, m_stop->answers_until());
         if (now >= until)
             co_return refuse(request, error_kind::no_owner, ms(owner_wait_timeout));
         co_await m_state.changed.wait(until - now);
@@ -188,8 +207,11 @@
     const auto label = m_next_label++;
     options.label = label;
     options.may_write = [watch = request.watch] { return !watch->is_gone(); };
-    options.is_answer = [&](const http_reply& reply)
-    { return is_answer_to(request, m_state.format, reply); };
+    options.owner_of = [&](const http_reply& reply)
+    { return owner_of(request, m_state.format, reply); };
+    options.unnamed_wait =
+        millis(static_cast<std::int64_t>(unnamed_wait_factor * typical_ms(request.service)));
+    options.avoided = request.refused_on;
     if (!request.matched_route->is_idempotent && started_at < m_last_idle_reset + idle_reset_window)
         options.longest_idle = max_safe_idle_time;
     if (request.matched_route->is_idempotent)
@@ -225,11 +247,15 @@
         typical += (static_cast<double>(took.count()) - typical) * newest_weight;
     }
     if (kind != reply_kind::answer)
-        log_info(log_part::dispatch, "not answered attempt=" + request.attempt_id + " worker=" +
-                                         entry.life.id + " end=" + std::string(name_of(kind)) +
-                                         " status=" + std::to_string(exchange.reply.status) +
-                                         " reused=" + std::to_string(exchange.reused ? 1 : 0) +
-                                         " ms=" + std::to_string(took.count()));
+        log_info(log_part::dispatch,
+                 "not answered attempt=" + request.attempt_id + " worker=" + entry.life.id +
+                     " end=" + std::string(name_of(kind)) +
+                     " status=" + std::to_string(exchange.reply.status) +
+                     " reused=" + std::to_string(exchange.reused ? 1 : 0) + " named=" +
+                     (find_field(exchange.reply.fields, m_state.format.attempt_id) ? "1" : "0") +
+                     " ms=" + std::to_string(took.count()));
+    if (kind == reply_kind::not_executed || kind == reply_kind::wrong_owner)
+        request.refused_on.insert(exchange.connection);
     switch (kind)
     {
     case reply_kind::answer:
@@ -382,8 +408,11 @@
     return text;
 }
 
+/// A refusal of a request that may have run does not say that it was not run, whatever its reason.
 http_reply request_forwarder::refuse(routed_request& request, error_kind kind, double wait_ms)
 {
+    if (request.may_have_run && describe(kind).result == outcome::not_run)
+        kind = error_kind::server_lost;
     std::uniform_real_distribution<double> jitter(0.7, 1.3);
     m_state.counters.count("refused_" + std::string(name_of(kind)));
     request.error = kind;
