--- a/tests/standins/worker_standin.cpp
+++ b/tests/standins/worker_standin.cpp
@@ -11,6 +11,7 @@
 #include <boost/json/serialize.hpp>
 #include <boost/json/value_from.hpp>
 
+#include <algorithm>
 #include <iostream>
 
 namespace eelgrassrail::test
@@ -49,7 +50,7 @@
     , m_keys(key_count)
     , m_listener(
           context.get_executor(), parse_tcp_address(m_settings.address), {},
-          [this](http_call call, const auto&) { return serve(std::move(call)); },
+          [this](http_call call, const auto&) { return answer(std::move(call)); },
           [this](bool, bool) { return not_executed(400); })
 {
     m_listener.start();
@@ -79,6 +80,51 @@
     return reply;
 }
 
+void worker_standin::turn_away(std::string retry_after, millis time)
+{
+    m_turned_away.clear();
+    m_retry_after = std::move(retry_after);
+    m_turns_away_until = boot_clock::now() + time;
+}
+
+void worker_standin::restart(std::uint64_t start_time_ms)
+{
+    m_settings.start_time_ms = start_time_ms;
+    std::ranges::fill(m_keys, key_state{});
+    m_leaving.clear();
+}
+
+bool worker_standin::turns_away() const
+{
+    constexpr std::size_t share = 3; // one of so many requests
+    return boot_clock::now() < m_turns_away_until && m_requests.size() % share == 0;
+}
+
+http_reply worker_standin::make_turned_away(std::string attempt)
+{
+    m_turned_away.push_back({std::move(attempt), now_us()});
+    if (m_settings.prints_runs)
+        std::cout << "turned_away " << m_turned_away.back().attempt << ' '
+                  << m_turned_away.back().at_us << ' ' << m_retry_after << '\n'
+                  << std::flush;
+    auto reply = not_executed(503);
+    reply.fields.push_back({"Retry-After", m_retry_after});
+    return reply;
+}
+
+/// Adds to an answer of any kind whether the worker is leaving.
+asio::awaitable<http_reply> worker_standin::answer(http_call call)
+{
+    const std::string attempt(find_field(call.fields, attempt_id_field).value_or(""));
+    auto reply = co_await serve(std::move(call));
+    if (m_leaving.empty())
+        co_return reply;
+    reply.fields.push_back({"Server-Leaving", m_leaving});
+    if (m_settings.prints_runs && m_leaving == "1" && !attempt.empty())
+        std::cout << "said_leaving " << attempt << ' ' << now_us() << '\n' << std::flush;
+    co_return reply;
+}
+
 asio::awaitable<http_reply> worker_standin::serve(http_call call)
 {
     const auto path = path_of(call.target);
@@ -100,6 +146,17 @@
         set_rate_limit(query_value(call.target, "per_s").value_or(""));
         co_return http_reply{};
     }
+    if (path == "/leaving")
+    {
+        set_leaving(query_value(call.target, "text").value_or(""));
+        co_return http_reply{};
+    }
+    if (path == "/turn_away")
+    {
+        turn_away(query_value(call.target, "retry_after").value_or(""),
+                  millis(std::stoll(query_value(call.target, "ms").value_or("0"))));
+        co_return http_reply{};
+    }
     co_return co_await serve_request(call);
 }
 
@@ -117,6 +174,10 @@
         std::cout << "arrival " << find_field(call.fields, attempt_id_field).value_or("-") << ' '
                   << m_arrivals.back() << '\n'
                   << std::flush;
+    m_requests.push_back(
+        {std::string(find_field(call.fields, attempt_id_field).value_or("")), m_arrivals.back()});
+    if (turns_away())
+        co_return make_turned_away(m_requests.back().attempt);
     auto reply = co_await run(call);
     if (!m_rate_limit.empty())
         reply.fields.push_back({"Server-Limit", m_rate_limit});
--- a/tests/standins/worker_standin.hpp
+++ b/tests/standins/worker_standin.hpp
@@ -39,6 +39,13 @@
 };
 BOOST_DESCRIBE_STRUCT(run_entry, (), (attempt, key, fence, began_us, ended_us))
 
+/// A request that arrived, or the answer to one.
+struct request_event
+{
+    std::string attempt;
+    std::int64_t at_us{}; ///< boot clock
+};
+
 /// Serves one address. GET /journal returns all runs as JSON.
 class worker_standin
 {
@@ -53,6 +60,24 @@
     /// enforced. Also set with POST /limit?per_s=TEXT.
     void set_rate_limit(std::string text);
 
+    /// @brief Sets the text of the header `Server-Leaving` in all answers, also those to grants and
+    /// releases; empty: none. The registration is not changed. Also set with POST
+    /// /leaving?text=TEXT.
+    void set_leaving(std::string text) { m_leaving = std::move(text); }
+
+    /// @brief For some time, answers every third request 503 with this text as `Retry-After`. Also
+    /// set with POST /turn_away?retry_after=TEXT&ms=TIME.
+    void turn_away(std::string retry_after, millis time);
+
+    /// @brief Starts a new incarnation without keys at the same address.
+    void restart(std::uint64_t start_time_ms);
+
+    /// Requests that arrived, as `arrivals`.
+    [[nodiscard]] const std::vector<request_event>& requests() const { return m_requests; }
+
+    /// Requests that were turned away since the last `turn_away`, at the time of the answer.
+    [[nodiscard]] const std::vector<request_event>& turned_away() const { return m_turned_away; }
+
     /// Times at which requests arrived, those that were refused too, but not grants, releases and
     /// requests for another worker. Boot clock, in microseconds.
     [[nodiscard]] const std::vector<std::int64_t>& arrivals() const { return m_arrivals; }
@@ -68,12 +93,15 @@
         instant lease_until{};
     };
 
+    boost::asio::awaitable<http_reply> answer(http_call call);
     boost::asio::awaitable<http_reply> serve(http_call call);
     boost::asio::awaitable<http_reply> serve_request(const http_call& call);
     boost::asio::awaitable<http_reply> run(const http_call& call);
     boost::asio::awaitable<http_reply> release(const http_call& call);
     http_reply grant(const http_call& call);
     [[nodiscard]] http_reply not_executed(unsigned status) const;
+    [[nodiscard]] bool turns_away() const;
+    http_reply make_turned_away(std::string attempt);
 
     boost::asio::io_context& m_context;
     worker_settings m_settings;
@@ -82,6 +110,11 @@
     int m_waiting{};                             ///< requests that wait for a slot
     int m_busy{};                                ///< slots in use
     std::string m_rate_limit;
+    std::string m_leaving;     ///< text of the header `Server-Leaving`
+    std::string m_retry_after; ///< of requests that are turned away
+    instant m_turns_away_until{};
+    std::vector<request_event> m_requests;
+    std::vector<request_event> m_turned_away;
     std::vector<std::int64_t> m_arrivals;
     std::vector<run_entry> m_journal;
     http_listener m_listener;
