Coordinator: judge a restarted worker by the calls to its new incarnation

Cause: a worker without an answer to a grant for 4.5 s gets no more keys. The last answer was kept by id. A worker whose keys were moved away, and which starts again under its id later than that, has no keys, gets no renewals and so never answers: it got no keys any more from this coordinator. Change: the record of the last answer and of refused connections belongs to one incarnation. Ruled out: the balancer. It plans a range for an idle worker, but the worker was not among those whose keys may change.

--- a/include/eelgrassrail/router/key_coordinator.hpp
+++ b/include/eelgrassrail/router/key_coordinator.hpp
@@ -63,7 +63,8 @@
     {
         worker_speed speed;
         double failure_rate{};
-        instant last_answer{}; ///< last answer to a grant or release; none: no answer yet
+        std::uint64_t called_born_ms{}; ///< incarnation that the next two members are about
+        instant last_answer{};          ///< last answer to a grant or release; none: no answer yet
         std::size_t consecutive_refusals{};   ///< consecutive connections that it refused
         std::uint32_t in_flight{};            ///< sum over all reporters
         double admissible{1.0};               ///< part of the demand that its rate limit may admit
--- a/src/router/coordinator_workers.cpp
+++ b/src/router/coordinator_workers.cpp
@@ -2,6 +2,7 @@
 #include <eelgrassrail/router/key_coordinator.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace eelgrassrail
 {
@@ -25,6 +26,11 @@
                                       instant now)
 {
     auto& record = m_workers[worker.life.id];
+    if (std::exchange(record.called_born_ms, worker.life.born_ms) != worker.life.born_ms)
+    {
+        record.last_answer = {};
+        record.consecutive_refusals = 0;
+    }
     if (exchange.result == exchange_result::complete)
     {
         record.last_answer = now;
@@ -68,9 +74,11 @@
         if (const auto limit = m_permits.find_confirmed(worker->entry.life.id, now))
             usable.capacity =
                 std::min(usable.capacity, std::max(*limit, usable.capacity * min_limited_part));
+        // A new incarnation without keys has not been called yet.
         usable.may_change =
-            record.consecutive_refusals == 0 &&
-            (record.last_answer == instant{} || now - record.last_answer < renewal_timeout);
+            record.called_born_ms != worker->entry.life.born_ms ||
+            (record.consecutive_refusals == 0 &&
+             (record.last_answer == instant{} || now - record.last_answer < renewal_timeout));
         m_workers[usable.incarnation.id].capacity = usable.capacity;
         result.push_back(usable);
     }
