Send no new requests to a worker that says in its answers that it is leaving (DRAIN)

Cause: nothing read `Server-Leaving`. Change: any answer with the value 1, refusals and answers to grants and releases too, marks the incarnation in the registry, so that selection, permits, plans, grants and renewals treat it as listed as leaving; also checked right before a request is written. Requests for its keys wait for the new owner from then on. The process notifies the coordinator, which plans at once and announces the worker to all; both messages are datagrams of kinds of their own, which processes of the build before drop and count. The mark ends with a new incarnation only. An entry that says ready does not end it: entries are renewed until a worker ends. Values other than 1 do not count. Ruled out: a flag in the push (processes of the build before could not read it), and worker_change::entry in the push (its offset is not newer, so it is ignored, and an observation could not be told from an entry).

--- a/include/eelgrassrail/registry/worker_registry.hpp
+++ b/include/eelgrassrail/registry/worker_registry.hpp
@@ -1,6 +1,7 @@
 /// The workers known to this process, built from the stream of worker changes.
 #pragma once
 
+#include <eelgrassrail/registry/leaving_workers.hpp>
 #include <eelgrassrail/registry/worker_change.hpp>
 
 #include <functional>
@@ -20,9 +21,13 @@
     std::uint64_t revision{}; ///< registry revision of the newest change other than of `cold_ms`
     instant changed{};        ///< when this process applied the newest change
     bool is_listed{};         ///< false: the entry was removed
+    instant leaving_since{}; ///< when its answers said so, whatever `entry` says; none: they do not
 
     /// @brief Whether the worker accepts new requests.
-    [[nodiscard]] bool accepts_work() const noexcept { return is_listed && !entry.is_leaving; }
+    [[nodiscard]] bool accepts_work() const noexcept
+    {
+        return is_listed && !entry.is_leaving && leaving_since == instant{};
+    }
 
     /// @brief Whether the worker is still warming up.
     [[nodiscard]] bool is_cold(instant now) const noexcept
@@ -57,6 +62,21 @@
     /// @brief The newest change of each worker that changed after a revision.
     [[nodiscard]] std::vector<worker_change> changes_since(std::uint64_t revision) const;
 
+    /// @brief Marks a worker that has said in an answer that it is leaving.
+    /// @return false if it was marked
+    bool mark_leaving(const worker_incarnation& worker, instant now);
+
+    /// @brief Marks the workers that the coordinator has announced as leaving.
+    /// @return those that were not marked
+    std::vector<worker_incarnation>
+    mark_announced_leaving(std::span<const worker_incarnation> workers, instant now);
+
+    /// @brief Marked workers that are listed as ready, or not known yet.
+    [[nodiscard]] std::vector<worker_incarnation> ready_but_leaving() const;
+
+    /// @brief Those of `ready_but_leaving` that the coordinator is to be notified of now.
+    [[nodiscard]] std::vector<worker_incarnation> take_leaving_notices(instant now);
+
     /// @brief Calls a function with each known worker, including removed ones.
     void for_each(const std::function<void(const known_worker&)>& call) const;
 
@@ -70,7 +90,10 @@
     [[nodiscard]] std::uint64_t end_offset() const noexcept { return m_end; }
 
   private:
+    void update_leaving(const std::string& id);
+
     std::map<std::string, known_worker, std::less<>> m_workers;
+    leaving_workers m_leaving;
     std::uint64_t m_end{};
     std::uint64_t m_revision{};
 };
--- a/include/eelgrassrail/router/coordinator_channels.hpp
+++ b/include/eelgrassrail/router/coordinator_channels.hpp
@@ -3,6 +3,7 @@
 
 #include <eelgrassrail/http/client.hpp>
 #include <eelgrassrail/registry/worker_entry.hpp>
+#include <eelgrassrail/router/leaving_message.hpp>
 #include <eelgrassrail/router/peer_link.hpp>
 #include <eelgrassrail/router/permit_message.hpp>
 #include <eelgrassrail/router/router_message.hpp>
@@ -32,6 +33,9 @@
         announce_limits;
     /// Fetches a copy of the state of another process and applies it.
     std::function<boost::asio::awaitable<bool>(std::string)> fetch_copy;
+    /// Sends the leaving workers to many processes. It may be lost.
+    std::function<void(std::span<const relay_part<std::string>>, const leaving_update&)>
+        announce_leaving;
 };
 
 /// @brief Channels over the network. Both arguments have to outlive the result.
--- a/include/eelgrassrail/router/key_coordinator.hpp
+++ b/include/eelgrassrail/router/key_coordinator.hpp
@@ -47,6 +47,10 @@
     /// @return nothing while this process is not active
     std::optional<permit_reply> handle_permit_request(const permit_request& request, instant now);
 
+    /// @brief Marks workers that have said in an answer that they are leaving, moves their keys and
+    /// notifies all processes; does nothing while this process is not active.
+    void handle_leaving(std::span<const worker_incarnation> workers, instant now);
+
     /// @brief Whether this process holds the coordinator role and knows of no successor.
     [[nodiscard]] bool is_active() const noexcept { return m_is_active; }
 
@@ -115,6 +119,7 @@
     void restart_permits(instant now);
     permit_decision issue_permit(const permit_request& request, instant now);
     void announce_limits(instant now);
+    void announce_leaving(instant now);
     [[nodiscard]] std::vector<cluster_member> live_members(instant now) const;
     [[nodiscard]] cluster_member own_member() const;
     void resume_moves();
@@ -167,7 +172,9 @@
     instant m_coordinating_since{};
     instant m_limits_changed{};
     bool m_announces_now{}; ///< the limits are announced with the next push
-    relay_choice m_limits_tree{relay_choice::gathering}; ///< of the last announcement
+    relay_choice m_limits_tree{relay_choice::gathering};  ///< of the last announcement
+    bool m_announces_leaving{};                           ///< with the next push
+    relay_choice m_leaving_tree{relay_choice::gathering}; ///< of the last announcement
 };
 
 } // namespace eelgrassrail
--- a/include/eelgrassrail/router/peer_link.hpp
+++ b/include/eelgrassrail/router/peer_link.hpp
@@ -3,6 +3,7 @@
 
 #include <eelgrassrail/http/client.hpp>
 #include <eelgrassrail/http/listener.hpp>
+#include <eelgrassrail/router/leaving_message.hpp>
 #include <eelgrassrail/router/permit_message.hpp>
 #include <eelgrassrail/router/router_message.hpp>
 #include <eelgrassrail/router/router_state.hpp>
@@ -42,6 +43,8 @@
     std::function<void(const permit_request&)> on_permit_request;
     std::function<void(const permit_reply&)> on_permit_reply;
     std::function<void(const limit_update&)> on_limit_update;
+    std::function<void(const leaving_notice&)> on_leaving_notice;
+    std::function<void(const leaving_update&)> on_leaving_update;
 };
 
 /// Owns the UDP socket and the TCP listener of the peer address.
@@ -71,6 +74,10 @@
     /// lost.
     void send(std::span<const relay_part<std::string>> parts, const limit_update& message);
 
+    /// @brief Sends a message about leaving workers. It may be lost.
+    void send(const std::string& address, const leaving_notice& message);
+    void send(std::span<const relay_part<std::string>> parts, const leaving_update& message);
+
     /// @brief Fetches a full copy of the state of another process and applies it.
     /// @param address of the process; nothing is fetched if it is empty or this process's own
     /// @param required versions that the other process waits for, for a short time, before it
--- a/include/eelgrassrail/router/request_forwarder.hpp
+++ b/include/eelgrassrail/router/request_forwarder.hpp
@@ -52,6 +52,7 @@
 
     [[nodiscard]] bool can_still_send(const routed_request& request,
                                       const worker_incarnation& worker) const;
+    [[nodiscard]] bool accepts_requests(const worker_incarnation& worker) const;
     [[nodiscard]] static bool is_urgent(const routed_request& request);
     [[nodiscard]] const known_worker* select_worker(routed_request& request, double& wait_ms);
     [[nodiscard]] const known_worker* select_owner(routed_request& request, double& wait_ms) const;
--- a/include/eelgrassrail/router/router_process.hpp
+++ b/include/eelgrassrail/router/router_process.hpp
@@ -45,6 +45,7 @@
 
   private:
     boost::asio::awaitable<void> run_maintenance();
+    boost::asio::awaitable<void> send_leaving_notices();
     boost::asio::awaitable<void> send_report();
     boost::asio::awaitable<void> stop();
     boost::asio::awaitable<void> pause(millis time);
--- a/include/eelgrassrail/router/router_state.hpp
+++ b/include/eelgrassrail/router/router_state.hpp
@@ -51,6 +51,12 @@
     /// @brief Merges a full copy of another process's state; newer versions win.
     void merge_copy(const state_copy& copy, instant now);
 
+    /// @brief Marks a worker as leaving if its answer says so.
+    void observe_leaving(const worker_incarnation& worker, const http_reply& answer, instant now);
+
+    /// @brief Marks the workers that the coordinator has announced as leaving.
+    void apply_leaving(std::span<const worker_incarnation> announced, instant now);
+
     /// @brief A full copy of this state, for another process.
     [[nodiscard]] state_copy make_copy(instant now) const;
     /// @brief An ownership record of the current coordinator and version, with the given owners.
--- a/include/eelgrassrail/router/wire_format.hpp
+++ b/include/eelgrassrail/router/wire_format.hpp
@@ -34,6 +34,7 @@
     std::string worker_signature; ///< present in answers that a worker generated itself
     std::string not_executed;     ///< present if the worker did not run the request
     std::string rate_limit;       ///< requests per second that a worker accepts from all processes
+    std::string leaving;          ///< in all answers of a worker that is leaving: "1"
     std::string handover;         ///< state for the next owner, in the answer to a release
     std::function<http_call(const key_grant&)> grant;
     std::function<http_call(const key_grant&)> release;
--- a/src/registry/worker_registry.cpp
+++ b/src/registry/worker_registry.cpp
@@ -6,6 +6,14 @@
 
 namespace eelgrassrail
 {
+namespace
+{
+
+/// Time for which a worker that is not known any more stays marked as leaving. Its entry may be
+/// back after an outage of the store.
+constexpr std::chrono::minutes leaving_retention{10};
+
+} // namespace
 
 bool worker_registry::apply(const worker_change& change, instant now)
 {
@@ -34,11 +42,57 @@
     const bool is_changed = !was_listed || !(previous == change.entry);
     known.entry = change.entry;
     known.changed = now;
+    update_leaving(change.id);
     if (is_changed)
         known.revision = ++m_revision;
     return is_changed;
 }
 
+/// Applies the mark of the current incarnation.
+void worker_registry::update_leaving(const std::string& id)
+{
+    if (const auto it = m_workers.find(id); it != m_workers.end())
+        it->second.leaving_since = m_leaving.since(it->second.entry.life).value_or(instant{});
+}
+
+bool worker_registry::mark_leaving(const worker_incarnation& worker, instant now)
+{
+    const bool is_new = m_leaving.add(worker, now);
+    update_leaving(worker.id);
+    return is_new;
+}
+
+std::vector<worker_incarnation>
+worker_registry::mark_announced_leaving(std::span<const worker_incarnation> workers, instant now)
+{
+    auto added = m_leaving.add_announced(workers, now);
+    for (const auto& worker : added)
+        update_leaving(worker.id);
+    return added;
+}
+
+std::vector<worker_incarnation> worker_registry::ready_but_leaving() const
+{
+    std::vector<worker_incarnation> result;
+    m_leaving.for_each(
+        [&](const worker_incarnation& worker)
+        {
+            const auto* known = find(worker.id);
+            if (known == nullptr ||
+                (known->is_listed && !known->entry.is_leaving && known->entry.life == worker))
+                result.push_back(worker);
+        });
+    return result;
+}
+
+std::vector<worker_incarnation> worker_registry::take_leaving_notices(instant now)
+{
+    auto result = ready_but_leaving();
+    std::erase_if(result, [&](const worker_incarnation& worker)
+                  { return !m_leaving.take_notice(worker, now); });
+    return result;
+}
+
 void worker_registry::replace(const std::vector<worker_change>& listing, std::uint64_t end,
                               instant now)
 {
@@ -104,6 +158,12 @@
 {
     std::erase_if(m_workers, [before](const auto& item)
                   { return !item.second.is_listed && item.second.changed < before; });
+    m_leaving.erase_if(before - leaving_retention,
+                       [this](const worker_incarnation& worker)
+                       {
+                           const auto* known = find(worker.id);
+                           return known == nullptr || known->entry.life != worker;
+                       });
 }
 
 } // namespace eelgrassrail
--- a/src/router/coordinator_updates.cpp
+++ b/src/router/coordinator_updates.cpp
@@ -99,6 +99,7 @@
     for (const auto& item : push.use)
         m_state.worker_loads[item.id] = item;
     announce_limits(now);
+    announce_leaving(now);
 }
 
 /// The load of the workers that has changed since the last push, and of a share of the others,
--- a/src/router/coordinator_workers.cpp
+++ b/src/router/coordinator_workers.cpp
@@ -35,6 +35,7 @@
     {
         record.last_answer = now;
         record.consecutive_refusals = 0;
+        m_state.observe_leaving(worker.life, exchange.reply, now);
     }
     else if (exchange.refused)
     {
--- a/src/router/peer_link.cpp
+++ b/src/router/peer_link.cpp
@@ -42,7 +42,9 @@
     push = 'p',
     permit_request = 'q',
     permit_reply = 'a',
-    limit_update = 'l'
+    limit_update = 'l',
+    leaving_notice = 'd',
+    leaving_update = 'w'
 };
 
 /// @brief Decompresses and parses a message.
@@ -132,6 +134,18 @@
           pack(write_message(message)));
 }
 
+void peer_link::send(const std::string& address, const leaving_notice& message)
+{
+    send_datagram(address,
+                  static_cast<char>(datagram_kind::leaving_notice) + write_message(message));
+}
+
+void peer_link::send(std::span<const relay_part<std::string>> parts, const leaving_update& message)
+{
+    relay(static_cast<char>(datagram_kind::leaving_update), parts, false,
+          pack(write_message(message)));
+}
+
 /// Each receiver gets the same packed message after a route of its own.
 void peer_link::relay(char kind, std::span<const relay_part<std::string>> parts, bool gathers,
                       std::string_view packed)
@@ -194,6 +208,7 @@
     {
     case datagram_kind::push:
     case datagram_kind::limit_update:
+    case datagram_kind::leaving_update:
         handle_relayed(bytes.front(), body, from);
         return;
     case datagram_kind::report:
@@ -217,6 +232,13 @@
             return;
         }
         break;
+    case datagram_kind::leaving_notice:
+        if (const auto message = read_message<leaving_notice>(body))
+        {
+            m_handlers.on_leaving_notice(*message);
+            return;
+        }
+        break;
     }
     m_state.counters.count("datagrams_malformed");
 }
@@ -249,6 +271,14 @@
             m_state.counters.count("datagrams_malformed");
         return;
     }
+    if (kind == static_cast<char>(datagram_kind::leaving_update))
+    {
+        if (const auto message = unpack_message<leaving_update>(packed))
+            m_handlers.on_leaving_update(*message);
+        else
+            m_state.counters.count("datagrams_malformed");
+        return;
+    }
     if (auto message = unpack_message<coordinator_push>(packed))
         m_handlers.on_push(
             {std::move(*message), from, relay_levels(route->receivers.size()), route->gathers});
--- a/src/router/request_forwarder.cpp
+++ b/src/router/request_forwarder.cpp
@@ -187,7 +187,13 @@
     exchange_options options{.until = request.deadline};
     const auto label = m_next_label++;
     options.label = label;
-    options.may_write = [watch = request.watch] { return !watch->is_gone(); };
+    // The worker may have said that it wants no more requests while the connection was opened.
+    bool is_withheld = false;
+    options.may_write = [&, watch = request.watch]
+    {
+        is_withheld = !accepts_requests(entry.life);
+        return !is_withheld && !watch->is_gone();
+    };
     options.is_answer = [&](const http_reply& reply)
     { return is_answer_to(request, m_state.format, reply); };
     if (!request.matched_route->is_idempotent && started_at < m_last_idle_reset + idle_reset_window)
@@ -205,6 +211,8 @@
     const auto kind = classify(request, m_state.format, exchange);
     if (exchange.result == exchange_result::complete && kind != reply_kind::wrong_owner)
         record_rate_limit(entry.life.id, exchange.reply, kind == reply_kind::answer, started_at);
+    if (exchange.result == exchange_result::complete && kind != reply_kind::invalid)
+        m_state.observe_leaving(entry.life, exchange.reply, now);
     const bool is_success = kind == reply_kind::answer && exchange.reply.status < 500;
     // A worker without a free slot refuses or resets; this does not count as a failure.
     const bool is_full = !has_free_slot &&
@@ -212,7 +220,7 @@
                          now < request.deadline;
     record_result(entry, *link, {kind, took, exchange.reused, exchange.cancelled});
     const bool counts_as_failure =
-        kind != reply_kind::wrong_owner && !is_full && !request.watch->is_gone();
+        kind != reply_kind::wrong_owner && !is_full && !is_withheld && !request.watch->is_gone();
     link->on_end(is_success || !counts_as_failure, is_success, is_success && has_free_slot, took,
                  now);
     request.last_worker = entry.life.id;
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -129,6 +129,10 @@
     handlers.on_permit_reply = [this](const permit_reply& reply) { m_permits.handle_reply(reply); };
     handlers.on_limit_update = [this](const limit_update& update)
     { m_permits.handle_update(update); };
+    handlers.on_leaving_notice = [this](const leaving_notice& notice)
+    { m_coordinator.handle_leaving(notice.workers, boot_clock::now()); };
+    handlers.on_leaving_update = [this](const leaving_update& update)
+    { m_state.apply_leaving(update.workers, boot_clock::now()); };
     m_peers.start(std::move(handlers));
     start_permits();
     m_reader.start([this] { return should_read_streams(); });
@@ -138,6 +142,7 @@
     if (m_metrics)
         m_metrics->start();
     asio::co_spawn(m_context, run_maintenance(), asio::detached);
+    asio::co_spawn(m_context, send_leaving_notices(), asio::detached);
     log_info(log_part::entry, "started vm=" + m_state.settings.vm + " zone=" + m_state.self.zone +
                                   " born=" + std::to_string(m_state.self.born_ms));
 }
@@ -272,6 +277,23 @@
     co_await timer.async_wait(asio::use_awaitable);
 }
 
+/// Notifies the coordinator of workers that this process has observed to be leaving.
+asio::awaitable<void> router_process::send_leaving_notices()
+{
+    for (;;)
+    {
+        co_await m_state.changed.wait(leaving_workers::notice_interval);
+        leaving_notice notice;
+        notice.workers = m_state.workers.take_leaving_notices(boot_clock::now());
+        if (notice.workers.empty())
+            continue;
+        if (m_coordinator.is_active())
+            m_coordinator.handle_leaving(notice.workers, boot_clock::now());
+        else if (!m_state.coordinator.address.empty())
+            m_peers.send(m_state.coordinator.address, notice);
+    }
+}
+
 asio::awaitable<void> router_process::run_maintenance()
 {
     for (;;)
--- a/src/router/router_state.cpp
+++ b/src/router/router_state.cpp
@@ -154,6 +154,29 @@
     return is_complete;
 }
 
+void router_state::observe_leaving(const worker_incarnation& worker, const http_reply& answer,
+                                   instant now)
+{
+    if (find_field(answer.fields, format.leaving) != std::string_view("1") ||
+        !workers.mark_leaving(worker, now))
+        return;
+    counters.count("workers_seen_leaving");
+    log_info(log_part::dispatch, "worker says it is leaving worker=" + worker.id +
+                                     " born=" + std::to_string(worker.born_ms));
+    changed.notify();
+}
+
+void router_state::apply_leaving(std::span<const worker_incarnation> announced, instant now)
+{
+    const auto added = workers.mark_announced_leaving(announced, now);
+    for (const auto& worker : added)
+        log_info(log_part::dispatch, "worker announced as leaving worker=" + worker.id +
+                                         " born=" + std::to_string(worker.born_ms));
+    counters.count("workers_announced_leaving", added.size());
+    if (!added.empty())
+        changed.notify();
+}
+
 void router_state::merge_copy(const state_copy& copy, instant now)
 {
     apply_ownership(copy.ownership);
--- a/src/router/worker_selection.cpp
+++ b/src/router/worker_selection.cpp
@@ -28,9 +28,17 @@
 instant request_forwarder::owner_wait_deadline(const routed_request& request) const
 {
     const auto map = m_state.maps.find(request.service);
-    const auto owner_changed =
-        map == m_state.maps.end() ? m_state.started : map->second.find(*request.key).changed;
-    return std::max(owner_changed + owner_wait_timeout, request.arrived + min_owner_wait);
+    auto wait_start = m_state.started;
+    if (map != m_state.maps.end())
+    {
+        const auto& slice = map->second.find(*request.key);
+        wait_start = slice.changed;
+        // The move of its keys starts with the notice that it is leaving.
+        if (const auto* owner = m_state.workers.find(slice.owner.id);
+            owner != nullptr && owner->entry.life == slice.owner)
+            wait_start = std::max(wait_start, owner->leaving_since);
+    }
+    return std::max(wait_start + owner_wait_timeout, request.arrived + min_owner_wait);
 }
 
 const known_worker* request_forwarder::select_worker(routed_request& request, double& wait_ms)
@@ -100,13 +108,19 @@
     return decision.is_admitted ? worker : nullptr;
 }
 
+/// Whether an incarnation of a worker accepts requests of this process.
+bool request_forwarder::accepts_requests(const worker_incarnation& worker) const
+{
+    const auto* known = m_state.workers.find(worker.id);
+    return known != nullptr && known->accepts_work() && known->entry.life == worker;
+}
+
 /// Whether a worker that was selected before a wait can still get the request.
 bool request_forwarder::can_still_send(const routed_request& request,
                                        const worker_incarnation& worker) const
 {
-    const auto* known = m_state.workers.find(worker.id);
-    if (known == nullptr || !known->accepts_work() || known->entry.life != worker ||
-        boot_clock::now() >= request.deadline || request.watch->is_gone())
+    if (!accepts_requests(worker) || boot_clock::now() >= request.deadline ||
+        request.watch->is_gone())
         return false;
     if (!request.settings->is_sharded)
         return true;
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -31,7 +31,7 @@
     src/{core,ownership,tickets,requests,balance,routing,registry,grants,dissemination,limits}
 }
 names_stay_in_platform() {
-  ! grep -rnE 'Eelgrassrail-(Attempt|Deadline|Expect|Server-Sig|Not-Exec|Shard|Handover)|Server-Limit|EELGRASSRAIL_BOOT|/api/(log-|grant|release)' \
+  ! grep -rnE 'Eelgrassrail-(Attempt|Deadline|Expect|Server-Sig|Not-Exec|Shard|Handover)|Server-Limit|Server-Leaving|EELGRASSRAIL_BOOT|/api/(log-|grant|release)' \
     include src
 }
 run_suite() {
