--- a/include/eelgrassrail/router/request_forwarder.hpp
+++ b/include/eelgrassrail/router/request_forwarder.hpp
@@ -11,6 +11,7 @@
 #include <eelgrassrail/routing/admission.hpp>
 #include <eelgrassrail/routing/split_chooser.hpp>
 #include <eelgrassrail/routing/worker_choice.hpp>
+#include <eelgrassrail/routing/worker_pauses.hpp>
 
 #include <memory>
 #include <random>
@@ -52,15 +53,16 @@
 
     [[nodiscard]] bool can_still_send(const routed_request& request,
                                       const worker_incarnation& worker) const;
-    [[nodiscard]] bool accepts_requests(const worker_incarnation& worker) const;
+    [[nodiscard]] bool accepts_requests(const worker_incarnation& worker, instant now) const;
     [[nodiscard]] static bool is_urgent(const routed_request& request);
     [[nodiscard]] const known_worker* select_worker(routed_request& request, double& wait_ms);
-    [[nodiscard]] const known_worker* select_owner(routed_request& request, double& wait_ms) const;
+    [[nodiscard]] const known_worker* select_owner(routed_request& request, double& wait_ms);
     void count_arrival(const routed_request& request);
     [[nodiscard]] instant owner_wait_deadline(const routed_request& request) const;
     [[nodiscard]] double remaining_backoff_ms(const worker_entry& worker, instant now) const;
     void record_rate_limit(const std::string& worker, const http_reply& reply, bool is_run_answer,
                            instant sent_at);
+    bool record_retry_after(const worker_incarnation& worker, const http_reply& reply, instant now);
     void record_result(const worker_entry& worker, worker_link& link, const attempt_result& result);
     [[nodiscard]] worker_option make_worker_option(const known_worker& worker, instant now) const;
     [[nodiscard]] admission_inputs make_admission_inputs(const routed_request& request,
@@ -85,7 +87,8 @@
     std::map<std::string, double, std::less<>> m_typical_ms;      ///< by service; moving average
     std::map<std::string, key_sample, std::less<>> m_key_samples; ///< since the last report
     std::map<std::string, send_backoff, std::less<>> m_zone_backoffs; ///< by availability zone
-    std::vector<crash_report> m_crash_reports;                        ///< since the last report
+    worker_pauses m_pauses;
+    std::vector<crash_report> m_crash_reports; ///< since the last report
     std::mt19937 m_random;
     std::size_t m_in_flight{};
     instant m_last_idle_reset{}; ///< last reset of a reused idle connection
--- a/include/eelgrassrail/router/routed_request.hpp
+++ b/include/eelgrassrail/router/routed_request.hpp
@@ -34,7 +34,8 @@
                                ///< `admission_inputs::admission_sample`
     unsigned attempts{};       ///< how often it was written to a worker
     unsigned permit_denials{}; ///< how often a worker with a rate limit had no permit for it
-    bool may_have_run{};       ///< a worker may have started to run it
+    double paused_ms{};  ///< for which no worker for this request wants any; the caller is to wait
+    bool may_have_run{}; ///< a worker may have started to run it
     std::set<std::string> refused_by; ///< ids of workers not tried again; unused for keyed services
     std::string last_worker;          ///< id of the worker of the last attempt
     error_kind error{error_kind::none}; ///< why it was refused; `none` if a worker answered
--- a/src/router/request_forwarder.cpp
+++ b/src/router/request_forwarder.cpp
@@ -191,7 +191,7 @@
     bool is_withheld = false;
     options.may_write = [&, watch = request.watch]
     {
-        is_withheld = !accepts_requests(entry.life);
+        is_withheld = !accepts_requests(entry.life, boot_clock::now());
         return !is_withheld && !watch->is_gone();
     };
     options.is_answer = [&](const http_reply& reply)
@@ -211,16 +211,20 @@
     const auto kind = classify(request, m_state.format, exchange);
     if (exchange.result == exchange_result::complete && kind != reply_kind::wrong_owner)
         record_rate_limit(entry.life.id, exchange.reply, kind == reply_kind::answer, started_at);
+    bool is_paused = false;
     if (exchange.result == exchange_result::complete && kind != reply_kind::invalid)
+    {
         m_state.observe_leaving(entry.life, exchange.reply, now);
+        is_paused = record_retry_after(entry.life, exchange.reply, now);
+    }
     const bool is_success = kind == reply_kind::answer && exchange.reply.status < 500;
     // A worker without a free slot refuses or resets; this does not count as a failure.
     const bool is_full = !has_free_slot &&
                          (kind == reply_kind::not_executed || kind == reply_kind::lost) &&
                          now < request.deadline;
     record_result(entry, *link, {kind, took, exchange.reused, exchange.cancelled});
-    const bool counts_as_failure =
-        kind != reply_kind::wrong_owner && !is_full && !is_withheld && !request.watch->is_gone();
+    const bool counts_as_failure = kind != reply_kind::wrong_owner && !is_full && !is_withheld &&
+                                   !is_paused && !request.watch->is_gone();
     link->on_end(is_success || !counts_as_failure, is_success, is_success && has_free_slot, took,
                  now);
     request.last_worker = entry.life.id;
@@ -246,7 +250,8 @@
     case reply_kind::not_executed:
     case reply_kind::not_sent:
         request.refused_by.insert(entry.life.id);
-        if (request.key)
+        // During a pause a retry would come too early; the request is refused at once.
+        if (request.key && m_pauses.remaining_ms(entry.life, now) == 0)
             co_await m_state.changed.wait(owner_retry_interval);
         break;
     case reply_kind::wrong_owner:
@@ -306,6 +311,24 @@
                                      " was=" + (before ? std::to_string(*before) : "none"));
 }
 
+/// Records the time for which a worker that turned a request away wants no other one.
+/// @return whether the reply names a time
+bool request_forwarder::record_retry_after(const worker_incarnation& worker,
+                                           const http_reply& reply, instant now)
+{
+    constexpr unsigned unavailable = 503;
+    const auto text = find_field(reply.fields, "Retry-After");
+    if (reply.status != unavailable || !text)
+        return false;
+    const auto seconds = parse_retry_after(*text);
+    m_state.counters.count(seconds ? "worker_pauses" : "worker_pauses_malformed");
+    if (seconds && m_pauses.start(worker, *seconds, now))
+        log_info(log_part::dispatch,
+                 "worker wants no requests worker=" + worker.id + " named_s=" + std::string(*text) +
+                     " ms=" + std::to_string(static_cast<int>(m_pauses.remaining_ms(worker, now))));
+    return seconds.has_value();
+}
+
 /// Updates the send backoffs of the worker and its zone.
 void request_forwarder::record_result(const worker_entry& worker, worker_link& link,
                                       const attempt_result& result)
@@ -387,6 +410,8 @@
     if (const auto* worker = m_state.workers.find(id); worker != nullptr)
         if (const double closed = remaining_backoff_ms(worker->entry, now); closed > 0)
             text += " closed_ms=" + std::to_string(static_cast<int>(closed));
+    if (request.paused_ms > 0)
+        text += " paused_ms=" + std::to_string(static_cast<int>(request.paused_ms));
     return text;
 }
 
@@ -397,7 +422,10 @@
     request.error = kind;
     log_info(log_part::front, "refused kind=" + std::string(name_of(kind)) + " " +
                                   request_log_fields(request) + decision_log_fields(request));
-    return make_refusal(kind, wait_ms * jitter(m_random));
+    // Callers return after the pause, not all at its end.
+    std::uniform_real_distribution<double> delay(1.0, 1.3);
+    return make_refusal(kind,
+                        std::max(wait_ms * jitter(m_random), request.paused_ms * delay(m_random)));
 }
 
 entry_report request_forwarder::collect_report()
--- a/src/router/worker_selection.cpp
+++ b/src/router/worker_selection.cpp
@@ -4,6 +4,7 @@
 #include <eelgrassrail/router/routed_request.hpp>
 
 #include <algorithm>
+#include <limits>
 #include <random>
 
 namespace eelgrassrail
@@ -50,9 +51,11 @@
     std::vector<worker_option> options;
     options.reserve(workers.size());
     double min_wait_ms = 0;
+    double min_pause_ms = std::numeric_limits<double>::max();
     for (const auto* worker : workers)
     {
         auto option = make_worker_option(*worker, now);
+        min_pause_ms = std::min(min_pause_ms, m_pauses.remaining_ms(worker->entry.life, now));
         const double closed_ms = remaining_backoff_ms(worker->entry, now);
         const auto denial = m_state.limits.last_denial(worker->entry.life.id, now);
         const double blocked_ms = std::max(closed_ms, denial.retry_after_ms);
@@ -79,11 +82,13 @@
         return workers[best->index];
     wait_ms = request.refused_by.empty() ? min_wait_ms
                                          : std::max(min_wait_ms, typical_ms(request.service));
+    request.paused_ms = workers.empty() ? 0.0 : min_pause_ms;
     return nullptr;
 }
 
-const known_worker* request_forwarder::select_owner(routed_request& request, double& wait_ms) const
+const known_worker* request_forwarder::select_owner(routed_request& request, double& wait_ms)
 {
+    request.paused_ms = 0;
     const auto map = m_state.maps.find(request.service);
     if (map == m_state.maps.end())
         return nullptr;
@@ -94,6 +99,7 @@
     if (worker == nullptr || !worker->accepts_work() || worker->entry.life != slice.owner)
         return nullptr;
     const auto now = boot_clock::now();
+    request.paused_ms = m_pauses.remaining_ms(worker->entry.life, now);
     wait_ms = std::max(remaining_backoff_ms(worker->entry, now),
                        m_state.limits.queue_caller(worker->entry.life.id, now));
     if (wait_ms > 0)
@@ -109,18 +115,19 @@
 }
 
 /// Whether an incarnation of a worker accepts requests of this process.
-bool request_forwarder::accepts_requests(const worker_incarnation& worker) const
+bool request_forwarder::accepts_requests(const worker_incarnation& worker, instant now) const
 {
     const auto* known = m_state.workers.find(worker.id);
-    return known != nullptr && known->accepts_work() && known->entry.life == worker;
+    return known != nullptr && known->accepts_work() && known->entry.life == worker &&
+           m_pauses.remaining_ms(worker, now) == 0;
 }
 
 /// Whether a worker that was selected before a wait can still get the request.
 bool request_forwarder::can_still_send(const routed_request& request,
                                        const worker_incarnation& worker) const
 {
-    if (!accepts_requests(worker) || boot_clock::now() >= request.deadline ||
-        request.watch->is_gone())
+    const auto now = boot_clock::now();
+    if (!accepts_requests(worker, now) || now >= request.deadline || request.watch->is_gone())
         return false;
     if (!request.settings->is_sharded)
         return true;
@@ -136,12 +143,13 @@
                                { return other.priority > request.matched_route->priority; });
 }
 
-/// Remaining time, in ms, for which nothing is sent to a worker that rejects requests or whose zone
-/// is unreachable; 0: open.
+/// Remaining time, in ms, for which nothing is sent to a worker that rejects requests or has named
+/// a time, or whose zone is unreachable; 0: open.
 double request_forwarder::remaining_backoff_ms(const worker_entry& worker, instant now) const
 {
     const auto link = m_links.find(worker.life.id);
-    const double worker_ms = link ? link->backoff.remaining_backoff_ms(now) : 0;
+    const double worker_ms = std::max(link ? link->backoff.remaining_backoff_ms(now) : 0.0,
+                                      m_pauses.remaining_ms(worker.life, now));
     const auto zone = m_zone_backoffs.find(worker.zone);
     return zone == m_zone_backoffs.end()
                ? worker_ms
