--- a/include/eelgrassrail/router/routed_request.hpp
+++ b/include/eelgrassrail/router/routed_request.hpp
@@ -34,7 +34,8 @@
                                ///< `admission_inputs::admission_sample`
     unsigned attempts{};       ///< how often it was written to a worker
     unsigned permit_denials{}; ///< how often a worker with a rate limit had no permit for it
-    bool may_have_run{};       ///< a worker may have started to run it
+    double paused_ms{};  ///< for which no worker for this request wants any; the caller is to wait
+    bool may_have_run{}; ///< a worker may have started to run it
     std::set<std::string> refused_by; ///< ids of workers not tried again; unused for keyed services
     /// Connections on which a worker refused it. It is not sent there again: a late copy of the
     /// refusal bears the same attempt id.
