--- a/src/router/coordinator_limits.cpp
+++ b/src/router/coordinator_limits.cpp
@@ -30,7 +30,7 @@
 std::optional<permit_reply> key_coordinator::handle_permit_request(const permit_request& request,
                                                                    instant now)
 {
-    if (!m_term.is_active())
+    if (!holds_role())
         return std::nullopt;
     // Later, a limit that is unknown here has been withdrawn, and the sender is not notified yet.
     const bool is_missing = request.is_limited && now - m_coordinating_since < settling_time &&
@@ -94,7 +94,7 @@
 {
     for (const auto& limit : m_permits.limits())
         if (const auto* known = m_state.workers.find(limit.worker);
-            known == nullptr || !known->is_listed)
+            !m_state.workers_unknown && (known == nullptr || !known->is_listed))
         {
             m_permits.remove(limit.worker);
             m_limits_changed = now;
