Ownership: findings of the review: own claims, resignations, old entries, lease times

Cause (review of the trace and the fix by a reader who had not seen the work): (1) an entry older than the released incarnation could mark that one as replaced, and its keys were granted at once; (2) releases were not bound to the role lease; (3) a resignation that met an append of its own term was lost; (4) a claim went on although pushes had arrived while the record was read; (5) an own claim of unknown outcome was claimed again, which began the waits anew, for ever with a store whose answers take over 0.8 s; (6) lease times in the record did not shrink while moves waited; (7) maps adopted from the record kept a later version, so nothing repaired them if the claim failed; (8) an empty stream counted as a first start although owners were known. Change: release_source waits on older entries and without the right to grant; append_resignation goes on behind own records; claim asks should_claim once more; continue_own_claim starts the term of an own claim that is the newest record; lease times are recorded again each 4 s that they fall; 'settled' records do not wait for other moves; adopt_record takes the record's version; a stream without a record blocks claims. Ruled out: a term of its own that has ended is not continued, as its tokens may have been used. (1) has no test of its own.

--- a/include/eelgrassrail/router/key_coordinator.hpp
+++ b/include/eelgrassrail/router/key_coordinator.hpp
@@ -130,7 +130,11 @@
     void start_move(key_move move);
     [[nodiscard]] std::optional<recorded_ownership> read_recorded(const stream_page& newest,
                                                                   bool& is_readable) const;
-    void start_coordinating(const role_claim& claim, instant call_start);
+    void start_coordinating(const ownership_record& record, const coordinator_identity& before,
+                            instant confirmed_at, instant earlier_leases_until);
+    [[nodiscard]] bool continue_own_claim(const recorded_ownership& base, const stream_page& newest,
+                                          instant call_start);
+    [[nodiscard]] bool states_old_lease_times(instant now) const;
     void step_down(const char* why);
     void on_recorded(const ownership_record& record);
     void renew_all(instant now);
@@ -165,8 +169,8 @@
     grant_table m_grants;
     coordinator_term m_term;
     bool m_is_planning{};
-    std::uint64_t m_stream_end{};    ///< of the ownership stream, as last observed
-    bool m_records_earlier_leases{}; ///< the last record states leases of earlier epochs
+    std::uint64_t m_stream_end{}; ///< of the ownership stream, as last observed
+    millis m_recorded_earlier{};  ///< leases of earlier epochs, as the last record states them
     instant m_next_plan{};
     instant m_next_push{};
     instant m_last_push{};
--- a/include/eelgrassrail/router/router_state.hpp
+++ b/include/eelgrassrail/router/router_state.hpp
@@ -38,8 +38,8 @@
     void apply_ownership(const ownership_record& record);
 
     /// @brief Applies the newest record of the stream, even if later changes of its epoch were
-    /// received. If an older version of the program has sent a later epoch that is not on record,
-    /// the version decreases to the record's.
+    /// received, or a later epoch that is not on record (from an earlier version of the program).
+    /// The version may decrease.
     void adopt_record(const ownership_record& record);
 
     /// @brief Assigns one slice and raises the version to the given one if that is higher.
--- a/src/router/coordinator_record.cpp
+++ b/src/router/coordinator_record.cpp
@@ -96,7 +96,8 @@
 /// the condition that the end has not changed.
 asio::awaitable<void> key_coordinator::claim()
 {
-    m_next_claim = boot_clock::now() + retry_backoff;
+    const auto call_start = boot_clock::now();
+    m_next_claim = call_start + retry_backoff;
     const auto known = m_state.ownership_version;
     const auto newest = co_await m_state.calls.newest(platform_stream::ownership);
     // A later epoch that was received meanwhile may not have been on record when it was read.
@@ -104,12 +105,14 @@
         co_return;
     bool is_readable = false;
     const auto base = read_recorded(*newest, is_readable);
-    if (!is_readable)
+    if (!base && (!is_readable || known != 0 || newest->end > 0))
     {
         // Without the owners on record any grant could give a key to a second worker.
         m_next_claim = boot_clock::now() + unreadable_backoff;
         m_state.counters.count("ownership_records_malformed");
-        log_error(log_part::ownership, "no claim: the ownership record can not be decoded");
+        log_error(log_part::ownership, is_readable
+                                           ? "no claim: the stream has no ownership record any more"
+                                           : "no claim: the ownership record can not be decoded");
         co_return;
     }
     if (base)
@@ -119,25 +122,39 @@
                      " coordinator=" + base->record.coordinator.address +
                      " born=" + std::to_string(base->record.coordinator.born_ms) +
                      " end=" + std::to_string(newest->end) + " known=" + std::to_string(known));
+        if (continue_own_claim(*base, *newest, call_start))
+            co_return;
         const bool is_new =
             base->record.version > known || !(base->record.coordinator == m_state.coordinator);
         // The record takes precedence over the received state updates: the version of a push may be
         // ahead of changes that the push does not contain.
         m_state.adopt_record(base->record);
-        if (is_new && !m_state.is_coordinator())
-        {
-            // Another process may hold the role, and will send a push soon.
-            const auto now = boot_clock::now();
-            if (m_state.coordinator.address != m_state.self.address && known != 0)
-            {
-                m_state.last_push = now;
-                co_return;
-            }
-            if (!should_claim(evidence(now), now))
-                co_return;
-        }
+        // Another process may hold the role, and will send a push soon.
+        if (is_new && m_state.coordinator.address != m_state.self.address && known != 0)
+            m_state.last_push = boot_clock::now();
     }
-    co_await append_claim(base, newest->end);
+    // The record may be new here, and pushes may have arrived while it was read.
+    const auto now = boot_clock::now();
+    if (should_claim(evidence(now), now))
+        co_await append_claim(base, newest->end);
+}
+
+/// Starts the role if the newest record is a claim of this process whose outcome was unknown: there
+/// is no successor. A record of an earlier term does not count, as its tokens may have been used.
+/// @param call_start start of the call that read the record
+bool key_coordinator::continue_own_claim(const recorded_ownership& base, const stream_page& newest,
+                                         instant call_start)
+{
+    const auto claimed_epoch = base.record.version >> epoch_shift;
+    const auto times = base.record.find_lease_times();
+    if (!(base.record.coordinator == m_state.self) || !times || claimed_epoch <= m_term.epoch() ||
+        claimed_epoch < m_state.max_ownership_version >> epoch_shift)
+        return false;
+    m_state.counters.count("claims");
+    log_info(log_part::ownership, "claim found on record epoch=" + std::to_string(claimed_epoch));
+    m_stream_end = newest.end;
+    start_coordinating(base.record, {}, call_start, base.read_at + times->earlier);
+    return true;
 }
 
 asio::awaitable<void> key_coordinator::append_claim(std::optional<recorded_ownership> base,
@@ -174,8 +191,8 @@
                      std::chrono::duration_cast<millis>(call_start - m_state.last_push).count()) +
                  " ms=" + elapsed_text(call_start));
     m_stream_end = stream_end + 1;
-    on_recorded(claim.record());
-    start_coordinating(claim, call_start);
+    start_coordinating(claim.record(), claim.before(), call_start,
+                       claim.leases_until(boot_clock::now()));
 }
 
 /// Reads the ownership stream while this process is active, to detect a successor.
@@ -231,6 +248,7 @@
 /// Checks with the newest record that there is no successor, after records could not be read.
 asio::awaitable<void> key_coordinator::verify_role()
 {
+    const auto term = m_term.epoch();
     const auto call_start = boot_clock::now();
     const auto newest = co_await m_state.calls.newest(platform_stream::ownership);
     if (!newest)
@@ -240,7 +258,7 @@
     }
     bool is_readable = false;
     const auto base = read_recorded(*newest, is_readable);
-    if (!m_term.is_active())
+    if (!m_term.is_active() || term != m_term.epoch())
         co_return;
     if (base && base->record.coordinator == m_state.self &&
         base->record.version >> epoch_shift == m_term.epoch())
@@ -288,6 +306,11 @@
                 co_await m_state.calls.read(platform_stream::ownership, at, millis(0));
             if (!page)
                 continue;
+            if (page->has_gap)
+            {
+                co_await verify_role();
+                continue;
+            }
             if (term != m_term.epoch())
                 co_return false;
             const auto first = page->records.empty()
@@ -318,32 +341,38 @@
 void key_coordinator::on_recorded(const ownership_record& record)
 {
     m_recorded_version = record.version;
-    const auto times = record.find_lease_times();
-    m_records_earlier_leases = times && times->earlier > millis(0);
+    m_recorded_earlier = record.find_lease_times().value_or(lease_times{}).earlier;
 }
 
 /// Appends the record that ends the term. Other processes learn of it only once it is on record, as
 /// the coordinator before them otherwise remains in force.
 asio::awaitable<append_outcome> key_coordinator::append_resignation(ownership_record record)
 {
-    constexpr int max_attempts = 2; // a planned stop waits for them
+    constexpr millis timeout{1'500}; // a planned stop waits for it
+    const auto until = boot_clock::now() + timeout;
     const auto text = write_message(record);
-    const auto at = m_stream_end;
+    auto at = m_stream_end;
     auto end = append_outcome::unknown;
-    for (int n = 0; n < max_attempts && end == append_outcome::unknown; ++n)
+    while (end != append_outcome::done && boot_clock::now() < until)
     {
-        if (n > 0)
-            co_await delay(retry_backoff);
         end = co_await m_state.calls.append_ownership(text, at);
-        if (n == 0 || end != append_outcome::lost_race)
+        if (end == append_outcome::unknown)
+            co_await delay(retry_backoff);
+        if (end != append_outcome::lost_race)
             continue;
-        // The first attempt may have been executed without an answer.
+        // An append of this term was under way, or an attempt was executed without an answer.
         const auto page = co_await m_state.calls.read(platform_stream::ownership, at, millis(0));
-        const auto first = page && !page->records.empty()
-                               ? read_message<ownership_record>(page->records.front().value)
-                               : std::nullopt;
+        if (!page)
+            continue;
+        const auto first = page->records.empty()
+                               ? std::nullopt
+                               : read_message<ownership_record>(page->records.front().value);
         if (first && first->version == record.version && first->coordinator.address.empty())
-            end = append_outcome::done;
+            co_return append_outcome::done;
+        if (!first || !(first->coordinator == m_state.self) ||
+            first->version >> epoch_shift != m_term.epoch())
+            break;
+        ++at;
     }
     co_return end;
 }
--- a/src/router/key_coordinator.cpp
+++ b/src/router/key_coordinator.cpp
@@ -159,13 +159,17 @@
 }
 
 /// Starts the coordinator role after a claim is on record.
-/// @param call_start start of the call that put it there
-void key_coordinator::start_coordinating(const role_claim& claim, instant call_start)
+/// @param before the coordinator that the claim supersedes; no address: none, or not known
+/// @param confirmed_at start of the call that showed the record
+/// @param earlier_until when all leases granted in earlier epochs have ended
+void key_coordinator::start_coordinating(const ownership_record& record,
+                                         const coordinator_identity& before, instant confirmed_at,
+                                         instant earlier_until)
 {
     const auto now = boot_clock::now();
-    const auto earlier_until = claim.leases_until(now);
-    m_state.apply_ownership(claim.record());
-    m_term.begin(epoch(), call_start, earlier_until);
+    m_state.adopt_record(record);
+    on_recorded(record);
+    m_term.begin(epoch(), confirmed_at, earlier_until);
     m_state.store_lost_since = {};
     m_push_base = m_state.ownership_version;
     m_changes.clear();
@@ -177,8 +181,7 @@
     for (const auto& member : m_state.members)
         if (member.address != m_state.self.address)
             // The previous coordinator may have ended, so it relays nothing until it reports.
-            m_members.add(member,
-                          member.address == claim.before().address ? now - suspect_timeout : now);
+            m_members.add(member, member.address == before.address ? now - suspect_timeout : now);
     for (auto& [id, worker] : m_workers)
         worker.in_flight = 0;
     std::size_t unfinished = 0;
--- a/src/router/key_moves.cpp
+++ b/src/router/key_moves.cpp
@@ -26,6 +26,9 @@
 /// Time after the last move until the final ownership is recorded, for processes that start later.
 constexpr millis settle_interval{700};
 
+/// The lease times are recorded again once they have fallen by this much.
+constexpr millis lease_times_step{4'000};
+
 /// Limits of the concurrent moves between live workers, over all services: one move for this many
 /// workers, but not less than the minimum. A zone that returns, or workers that are added, take a
 /// share of all keys, so more workers need more moves.
@@ -82,21 +85,28 @@
                                                  std::to_string(moves.size()));
         schedule_push();
     }
-    else if (may_grant(now) && m_active_moves == 0 &&
-             m_recorded_version < m_state.ownership_version && now > m_last_move + settle_interval)
+    else if (may_grant(now) && m_recorded_version < m_state.ownership_version &&
+             now > m_last_move + settle_interval)
         co_await append_record(make_record(m_state.maps, now), "settled");
-    else if (may_grant(now) && m_records_earlier_leases &&
-             m_term.times(now, m_grants.longest_lease()).earlier == millis(0))
+    else if (may_grant(now) && states_old_lease_times(now))
     {
-        // A successor would wait for these leases again.
+        // A successor would wait for these leases as if the record were new.
         m_state.set_ownership_version(m_state.ownership_version + 1);
-        co_await append_record(make_record(m_state.maps, now), "earlier leases ended");
+        co_await append_record(make_record(m_state.maps, now), "lease times");
     }
     // After the moves, so that a push contains a new owner together with its admission ratio.
     update_admission();
     m_is_planning = false;
 }
 
+/// Whether the last record states leases of earlier epochs for much longer than they last.
+bool key_coordinator::states_old_lease_times(instant now) const
+{
+    const auto left = m_term.times(now, m_grants.longest_lease()).earlier;
+    return m_recorded_earlier - left >= lease_times_step ||
+           (left == millis(0) && m_recorded_earlier > left);
+}
+
 std::vector<key_coordinator::key_move> key_coordinator::plan_moves(instant now)
 {
     std::vector<key_move> moves;
@@ -216,7 +226,10 @@
     {
         result.why = "expired";
         const auto* worker = m_state.workers.find(source.id);
-        if (worker == nullptr)
+        // An entry that is older than the source says nothing about it. Without the right to grant,
+        // a release would only take the keys out of service.
+        if (worker == nullptr || worker->entry.life.born_ms < source.born_ms ||
+            !may_grant(boot_clock::now()))
         {
             co_await delay(retry_backoff);
             continue;
@@ -232,9 +245,9 @@
         release.first = move.slice.first;
         release.last = move.slice.last;
         release.fence = move.fence;
-        auto exchange =
-            co_await call_worker(entry, m_state.format.release(release), release_timeout,
-                                 [this, &move](instant) { return is_current(move); });
+        auto exchange = co_await call_worker(
+            entry, m_state.format.release(release), release_timeout,
+            [this, &move](instant at) { return is_current(move) && may_grant(at); });
         if (exchange.result == exchange_result::complete && exchange.reply.status == 200)
         {
             result.handover =
--- a/src/router/router_state.cpp
+++ b/src/router/router_state.cpp
@@ -82,12 +82,8 @@
 
 void router_state::adopt_record(const ownership_record& record)
 {
-    const bool is_same_epoch = record.version >> epoch_shift == ownership_version >> epoch_shift;
-    const auto version =
-        is_same_epoch ? std::max(ownership_version, record.version) : record.version;
     ownership_version = 0;
     apply_ownership(record);
-    ownership_version = version;
 }
 
 void router_state::set_ownership_version(std::uint64_t version)
