--- a/tests/model/fault_history.cpp
+++ b/tests/model/fault_history.cpp
@@ -17,6 +17,7 @@
 
 /// At the end no fault begins, so that the last ones show their effects.
 constexpr millis quiet_end{14'000};
+constexpr int quiet_part = 4; ///< in a short run, a quarter of it
 
 } // namespace
 
@@ -174,7 +175,8 @@
     const double weights =
         std::accumulate(played.begin(), played.end(), 0.0,
                         [](double sum, const kind* it) { return sum + it->weight; });
-    const auto end = model_now() + settings.time - quiet_end;
+    const auto end = model_now() + settings.time -
+                     std::min<boot_clock::duration>(quiet_end, settings.time / quiet_part);
     for (auto at = model_now() + quiet_start; at < end;
          at += boot_clock::duration(
              static_cast<std::int64_t>(-std::log(1.0 - plan.part()) * mean_ms * 1'000.0)))
--- a/tests/model/model_process.cpp
+++ b/tests/model/model_process.cpp
@@ -353,7 +353,7 @@
     call_sender sender;
     sender.process = m_index;
     sender.name = m_name;
-    fleet.deliver(sender, *life, std::move(call),
+    fleet.deliver(sender, *life, call,
                   [weak](http_reply reply)
                   {
                       if (const auto to = weak.lock())
--- a/tests/model/worker_fleet.cpp
+++ b/tests/model/worker_fleet.cpp
@@ -163,7 +163,7 @@
     m_links.publish(m_lives[*number].entry, true);
 }
 
-void worker_fleet::deliver(const call_sender& sender, life_number to, http_call call,
+void worker_fleet::deliver(const call_sender& sender, life_number to, const http_call& call,
                            std::function<void(http_reply)> on_reply)
 {
     constexpr double max_usual_ms = 4.0;
--- a/tests/model/worker_fleet.hpp
+++ b/tests/model/worker_fleet.hpp
@@ -84,7 +84,7 @@
 
     /// @brief Delivers a call that was just written to a worker.
     /// @param on_reply called when the reply has arrived at the sender, unless it is lost
-    void deliver(const call_sender& sender, life_number to, http_call call,
+    void deliver(const call_sender& sender, life_number to, const http_call& call,
                  std::function<void(http_reply)> on_reply);
 
     [[nodiscard]] const hold_check& holds() const { return m_holds; }
