--- a/tests/model/event_journal.cpp
+++ b/tests/model/event_journal.cpp
@@ -44,6 +44,8 @@
 void event_journal::add_line(std::string text, std::uint32_t first, std::uint32_t last)
 {
     forget();
+    if (m_on_line)
+        m_on_line(time_text(model_now()) + " " + text);
     m_lines.push_back({model_now(), std::move(text), first, last});
 }
 
--- a/tests/model/event_journal.hpp
+++ b/tests/model/event_journal.hpp
@@ -38,6 +38,9 @@
     void add_line(std::string text, std::uint32_t first = 0, std::uint32_t last = ~0U);
     void add(worker_event event);
 
+    /// @brief Called with each line as it is added.
+    void on_line(std::function<void(const std::string&)> call) { m_on_line = std::move(call); }
+
     /// @brief The events that concern a key, in the order of time.
     /// @param concerns whether the events of a worker's life count
     /// @param name of a worker's life
@@ -56,6 +59,7 @@
 
     void forget();
 
+    std::function<void(const std::string&)> m_on_line;
     std::deque<line> m_lines;
     std::deque<worker_event> m_events;
 };
--- a/tests/model/fault_history.cpp
+++ b/tests/model/fault_history.cpp
@@ -87,6 +87,8 @@
          }},
         {"store_outage", 1.0, [](fault_history& it, chance& random) { it.store_outage(random); }},
         {"cut_store", 1.0, [](fault_history& it, chance& random) { it.cut_store(random); }},
+        {"blind_coordinator", 1.5,
+         [](fault_history& it, chance& random) { it.blind_coordinator(random); }},
         {"compaction", 0.7,
          [](fault_history& it, chance& random)
          { it.m_world.store().compact(1 + random.below(3)); }},
@@ -329,6 +331,43 @@
         { std::ranges::for_each(cut, [&](std::size_t n) { now.cut_off.erase(n); }); });
 }
 
+/// The coordinator lives and reaches workers that the others don't reach or know, but does not see
+/// that it has a successor, which may be struck in the middle of its claim.
+void fault_history::blind_coordinator(chance& random)
+{
+    const auto process = m_world.coordinator();
+    if (!process)
+        return;
+    const auto time = random.ms(3'000, 14'000);
+    for_a_time(
+        time,
+        [&](model_conditions& now)
+        {
+            now.cut_off.insert(*process);
+            now.is_refusing = false;
+        },
+        [process](model_conditions& now) { now.cut_off.erase(*process); });
+    const bool is_isolated = random.is(0.7);
+    const auto workers = 1 + random.below(std::max<std::size_t>(2, m_world.fleet().count() / 3));
+    for (std::size_t n = 0; n < m_world.process_count(); ++n)
+    {
+        if (n == *process)
+            continue;
+        if (is_isolated)
+            m_world.cuts().cut(*process, n, model_now() + time);
+        for (std::size_t k = 0; k < workers; ++k)
+            m_world.cuts().cut(n, link_cuts::worker(k), model_now() + 2 * time);
+    }
+    m_armed = random.is(0.6) ? 1 + random.below(2) : 0;
+    const bool is_unlisted = random.is(0.7);
+    for (std::size_t k = 0; k < workers && is_unlisted; ++k)
+    {
+        m_world.events().after(random.ms(0, 6'000), [this, k] { m_world.fleet().unlist(k); });
+        m_world.events().after(2 * time + random.ms(0, 2'000),
+                               [this, k] { m_world.fleet().list(k); });
+    }
+}
+
 /// The store is down; afterwards some workers' entries have lapsed and come back.
 void fault_history::store_outage(chance& random)
 {
--- a/tests/model/ownership_model.cpp
+++ b/tests/model/ownership_model.cpp
@@ -21,6 +21,7 @@
 DEFINE_string(only, "", "if not empty, only these kinds happen");
 DEFINE_bool(kinds, false, "print the kinds of fault and end");
 DEFINE_bool(brief, false, "print only the first line of a violation");
+DEFINE_bool(trace, false, "print all faults, claims and moves as they happen");
 DEFINE_uint64(violations, 1, "violations after which a run ends");
 
 namespace
@@ -84,6 +85,8 @@
         settings.seed = seed;
         model_world world(settings);
         world.conditions().has_lost_claims = !settings.without.contains("lost_claims");
+        if (FLAGS_trace)
+            world.journal().on_line([](const std::string& line) { std::cout << line << "\n"; });
         const fault_history history(settings, world);
         world.run();
         print(seed, world,
