--- a/tests/model/model_world.cpp
+++ b/tests/model/model_world.cpp
@@ -272,8 +272,8 @@
 
 void model_world::move_hot_keys()
 {
-    constexpr double min_ms = 2'000.0;
-    constexpr double max_ms = 7'000.0;
+    constexpr double min_ms = 1'000.0;
+    constexpr double max_ms = 4'000.0;
     constexpr std::uint32_t max_size = 6'000;
     m_hot_size = static_cast<std::uint32_t>(1 + m_random.below(max_size));
     m_hot_first = static_cast<std::uint32_t>(m_random.below(key_count - m_hot_size));
@@ -283,7 +283,7 @@
 void model_world::add_demand(entry_report& report, instant since)
 {
     constexpr double rate_of_worker = 14.0; // requests per second; full at 18
-    constexpr double hot_part = 0.4;
+    constexpr double hot_part = 0.5;
     constexpr double max_s = 2.0;
     constexpr double run_ms = 200.0;
     const double time_s =
--- a/tests/model/worker_fleet.cpp
+++ b/tests/model/worker_fleet.cpp
@@ -12,11 +12,11 @@
 namespace
 {
 
-/// Work that runs on released keys: half of the releases find none.
-constexpr double running_part = 0.4;
-constexpr double long_part = 0.05;
-constexpr double long_work_ms = 4'000.0;
-constexpr double work_ms = 800.0;
+/// Work that runs on released keys. It is long, so that many moves are in progress at any time.
+constexpr double running_part = 0.8;
+constexpr double long_part = 0.1;
+constexpr double long_work_ms = 5'000.0;
+constexpr double work_ms = 1'500.0;
 
 /// A grant that is held up arrives at most this long after it was written.
 constexpr double max_arrival_ms = 495.0;
