--- a/tests/model/fault_history.cpp
+++ b/tests/model/fault_history.cpp
@@ -89,6 +89,8 @@
         {"cut_store", 1.0, [](fault_history& it, chance& random) { it.cut_store(random); }},
         {"blind_coordinator", 1.5,
          [](fault_history& it, chance& random) { it.blind_coordinator(random); }},
+        {"lost_successors", 1.5,
+         [](fault_history& it, chance& random) { it.lost_successors(random); }},
         {"compaction", 0.7,
          [](fault_history& it, chance& random)
          { it.m_world.store().compact(1 + random.below(3)); }},
@@ -370,6 +372,42 @@
     }
 }
 
+/// The coordinator lacks the store for a while, and most claims of the others are never executed:
+/// it goes on when others have copied claims that are not on record.
+void fault_history::lost_successors(chance& random)
+{
+    const auto process = m_world.coordinator();
+    if (!process)
+        return;
+    const auto time = random.ms(1'000, 5'000);
+    const double lost = random.between(0.3, 0.9);
+    for_a_time(
+        time,
+        [&](model_conditions& now)
+        {
+            now.cut_off.insert(*process);
+            now.is_refusing = true;
+            now.lost_datagrams = 0.3;
+        },
+        [process](model_conditions& now)
+        {
+            now.cut_off.erase(*process);
+            now.lost_datagrams = model_conditions().lost_datagrams;
+        });
+    for_a_time(
+        time + random.ms(0, 2'000),
+        [&](model_conditions& now)
+        {
+            now.lost_requests = lost;
+            now.slow_calls = 0.5;
+        },
+        [](model_conditions& now)
+        {
+            now.lost_requests = model_conditions().lost_requests;
+            now.slow_calls = model_conditions().slow_calls;
+        });
+}
+
 /// The store is down; afterwards some workers' entries have lapsed and come back.
 void fault_history::store_outage(chance& random)
 {
--- a/tests/model/fault_history.hpp
+++ b/tests/model/fault_history.hpp
@@ -51,6 +51,7 @@
     void slow_coordinator(chance& random);
     void isolate_coordinator(chance& random);
     void blind_coordinator(chance& random);
+    void lost_successors(chance& random);
     void cut_store(chance& random);
     void store_outage(chance& random);
     void kill_worker(chance& random);
