--- a/tests/model/fault_history.cpp
+++ b/tests/model/fault_history.cpp
@@ -17,6 +17,7 @@
 
 /// At the end no fault begins, so that the last ones show their effects.
 constexpr millis quiet_end{14'000};
+constexpr int quiet_part = 4; ///< in a short run, a quarter of it
 
 } // namespace
 
@@ -86,6 +87,10 @@
          }},
         {"store_outage", 1.0, [](fault_history& it, chance& random) { it.store_outage(random); }},
         {"cut_store", 1.0, [](fault_history& it, chance& random) { it.cut_store(random); }},
+        {"blind_coordinator", 1.5,
+         [](fault_history& it, chance& random) { it.blind_coordinator(random); }},
+        {"lost_successors", 1.5,
+         [](fault_history& it, chance& random) { it.lost_successors(random); }},
         {"compaction", 0.7,
          [](fault_history& it, chance& random)
          { it.m_world.store().compact(1 + random.below(3)); }},
@@ -144,7 +149,9 @@
     std::vector<const kind*> played;
     for (const auto& it : table())
     {
-        const bool is_drawn = plan.is(played_part);
+        // Independent of the other kinds, so that a new one leaves the runs without it as they are.
+        const bool is_drawn =
+            chance(settings.seed ^ std::hash<std::string_view>{}(it.name)).is(played_part);
         const std::string name(it.name);
         const bool is_wanted = settings.only.empty() ? is_drawn && !settings.without.contains(name)
                                                      : settings.only.contains(name);
@@ -174,7 +181,8 @@
     const double weights =
         std::accumulate(played.begin(), played.end(), 0.0,
                         [](double sum, const kind* it) { return sum + it->weight; });
-    const auto end = model_now() + settings.time - quiet_end;
+    const auto end = model_now() + settings.time -
+                     std::min<boot_clock::duration>(quiet_end, settings.time / quiet_part);
     for (auto at = model_now() + quiet_start; at < end;
          at += boot_clock::duration(
              static_cast<std::int64_t>(-std::log(1.0 - plan.part()) * mean_ms * 1'000.0)))
@@ -327,6 +335,79 @@
         { std::ranges::for_each(cut, [&](std::size_t n) { now.cut_off.erase(n); }); });
 }
 
+/// The coordinator lives and reaches workers that the others don't reach or know, but does not see
+/// that it has a successor, which may be struck in the middle of its claim.
+void fault_history::blind_coordinator(chance& random)
+{
+    const auto process = m_world.coordinator();
+    if (!process)
+        return;
+    const auto time = random.ms(3'000, 14'000);
+    for_a_time(
+        time,
+        [&](model_conditions& now)
+        {
+            now.cut_off.insert(*process);
+            now.is_refusing = false;
+        },
+        [process](model_conditions& now) { now.cut_off.erase(*process); });
+    const bool is_isolated = random.is(0.7);
+    const auto workers = 1 + random.below(std::max<std::size_t>(2, m_world.fleet().count() / 3));
+    for (std::size_t n = 0; n < m_world.process_count(); ++n)
+    {
+        if (n == *process)
+            continue;
+        if (is_isolated)
+            m_world.cuts().cut(*process, n, model_now() + time);
+        for (std::size_t k = 0; k < workers; ++k)
+            m_world.cuts().cut(n, link_cuts::worker(k), model_now() + 2 * time);
+    }
+    m_armed = random.is(0.6) ? 1 + random.below(2) : 0;
+    const bool is_unlisted = random.is(0.7);
+    for (std::size_t k = 0; k < workers && is_unlisted; ++k)
+    {
+        m_world.events().after(random.ms(0, 6'000), [this, k] { m_world.fleet().unlist(k); });
+        m_world.events().after(2 * time + random.ms(0, 2'000),
+                               [this, k] { m_world.fleet().list(k); });
+    }
+}
+
+/// The coordinator lacks the store for a while, and most claims of the others are never executed:
+/// it goes on when others have copied claims that are not on record.
+void fault_history::lost_successors(chance& random)
+{
+    const auto process = m_world.coordinator();
+    if (!process)
+        return;
+    const auto time = random.ms(1'000, 5'000);
+    const double lost = random.between(0.3, 0.9);
+    for_a_time(
+        time,
+        [&](model_conditions& now)
+        {
+            now.cut_off.insert(*process);
+            now.is_refusing = true;
+            now.lost_datagrams = 0.3;
+        },
+        [process](model_conditions& now)
+        {
+            now.cut_off.erase(*process);
+            now.lost_datagrams = model_conditions().lost_datagrams;
+        });
+    for_a_time(
+        time + random.ms(0, 2'000),
+        [&](model_conditions& now)
+        {
+            now.lost_requests = lost;
+            now.slow_calls = 0.5;
+        },
+        [](model_conditions& now)
+        {
+            now.lost_requests = model_conditions().lost_requests;
+            now.slow_calls = model_conditions().slow_calls;
+        });
+}
+
 /// The store is down; afterwards some workers' entries have lapsed and come back.
 void fault_history::store_outage(chance& random)
 {
