Stand-in workers log their leases; a check of holds

Cause: users saw two workers hold the same keys (rule OWNER). Our stand-ins keep leases, but soak and sessions compared only runs of requests.

Its clock may run slow, and it may take grants late. One process can host many workers. hold_check follows the holds of each key over all workers and their lives: no overlap, and a token above all others'.

--- a/tests/src/session-limits.cpp
+++ b/tests/src/session-limits.cpp
@@ -1,4 +1,5 @@
 /// Workers that name rate limits, behind several routers in one process on loopback.
+#include "hold_check.hpp"
 #include "limit_window.hpp"
 #include "store_standin.hpp"
 #include "worker_standin.hpp"
@@ -62,6 +63,7 @@
             settings.zone = "z1";
             settings.is_sharded = id[0] == 'k';
             settings.start_time_ms = 1;
+            settings.holds = &holds;
             // One worker without keys can serve all requests, but then its slots are often busy.
             settings.run_ms = settings.is_sharded ? 10 : 60;
             workers.push_back(std::make_unique<worker_standin>(context, settings));
@@ -192,7 +194,7 @@
         co_return in_a_row == 2 * routers.size();
     }
 
-    /// Runs a session to completion and rethrows its exception.
+    /// Runs a session to completion, rethrows its exception and checks that no key had two holders.
     void run(asio::awaitable<void> session)
     {
         std::exception_ptr failure;
@@ -205,9 +207,11 @@
         context.run();
         if (failure)
             std::rethrow_exception(failure);
+        CPPUNIT_ASSERT_EQUAL(std::string(), check_holds(holds));
     }
 
     asio::io_context context{1};
+    hold_journal holds; ///< of all workers
     store_standin store;
     platform::store_client client;
     std::vector<std::unique_ptr<worker_standin>> workers;
--- a/tests/src/session-router.cpp
+++ b/tests/src/session-router.cpp
@@ -1,5 +1,6 @@
 /// End-to-end tests of the router with the platform adapter and stand-ins of the store and the
 /// workers, in one process on loopback.
+#include "hold_check.hpp"
 #include "store_standin.hpp"
 #include "worker_standin.hpp"
 #include <eelgrassrail/peers/codec.hpp>
@@ -58,6 +59,7 @@
         settings.zone = "z1";
         settings.is_sharded = is_sharded;
         settings.start_time_ms = start_time_ms;
+        settings.holds = &holds;
         workers.push_back(std::make_unique<worker_standin>(context, settings));
         store.put("keyed.servers", id, workers.back()->registration(false));
         return *workers.back();
@@ -116,7 +118,7 @@
         co_return false;
     }
 
-    /// Runs a session to completion and rethrows its exception.
+    /// Runs a session to completion, rethrows its exception and checks that no key had two holders.
     void run(asio::awaitable<void> session)
     {
         std::exception_ptr failure;
@@ -129,9 +131,11 @@
         context.run();
         if (failure)
             std::rethrow_exception(failure);
+        CPPUNIT_ASSERT_EQUAL(std::string(), check_holds(holds));
     }
 
     asio::io_context context{1};
+    hold_journal holds; ///< of all workers, also of those that were reset
     store_standin store;
     platform::store_client client;
     std::vector<std::unique_ptr<worker_standin>> workers;
--- a/tests/standins/worker_standin.cpp
+++ b/tests/standins/worker_standin.cpp
@@ -11,7 +11,10 @@
 #include <boost/json/serialize.hpp>
 #include <boost/json/value_from.hpp>
 
+#include <algorithm>
 #include <iostream>
+#include <span>
+#include <tuple>
 
 namespace eelgrassrail::test
 {
@@ -47,6 +50,7 @@
     : m_context(context)
     , m_settings(std::move(settings))
     , m_keys(key_count)
+    , m_random(m_settings.seed)
     , m_listener(
           context.get_executor(), parse_tcp_address(m_settings.address), {},
           [this](http_call call, const auto&) { return serve(std::move(call)); },
@@ -55,6 +59,23 @@
     m_listener.start();
 }
 
+worker_standin::~worker_standin()
+{
+    hold_event event;
+    event.kind = hold_kind::end;
+    event.at_us = now_us();
+    log_hold(std::move(event));
+}
+
+void worker_standin::log_hold(hold_event event)
+{
+    event.life = m_settings.id + "#" + std::to_string(m_settings.start_time_ms);
+    if (m_settings.prints_runs)
+        std::cout << to_line(event) << '\n' << std::flush;
+    if (m_settings.holds != nullptr)
+        m_settings.holds->push_back(std::move(event));
+}
+
 std::string worker_standin::registration(bool is_leaving) const
 {
     return boost::json::serialize(boost::json::object{
@@ -92,7 +113,7 @@
         co_return reply;
     }
     if (path == "/api/grant")
-        co_return grant(call);
+        co_return co_await grant(call);
     if (path == "/api/release")
         co_return co_await release(call);
     if (path == "/limit")
@@ -123,39 +144,64 @@
     co_return reply;
 }
 
-http_reply worker_standin::grant(const http_call& call)
+asio::awaitable<http_reply> worker_standin::grant(const http_call& call)
 {
     const auto document = boost::json::parse(call.body);
     const auto& body = document.as_object();
-    const auto [first, last] = range_of(body);
-    const auto fence = body.at("fence").to_number<std::uint64_t>();
-    const auto lease = millis(std::stoll(std::string(body.at("hold_time").as_string())));
+    hold_event event;
+    std::tie(event.first, event.last) = range_of(body);
+    event.fence = body.at("fence").to_number<std::uint64_t>();
+    event.arrived_us = now_us();
+    const std::chrono::duration<double, std::milli> lease(
+        std::stod(std::string(body.at("hold_time").as_string())) * (1.0 + m_settings.clock_lag));
+    constexpr int percent = 100;
+    event.was_late =
+        m_settings.late_percent > 0 &&
+        std::uniform_int_distribution<int>(0, percent - 1)(m_random) < m_settings.late_percent;
+    const auto until = boot_clock::now() + std::chrono::duration_cast<boot_clock::duration>(lease);
+    // The caller gives up before a late grant is taken, so it gets no answer.
+    if (event.was_late)
+        co_await delay(m_context, millis(m_settings.late_ms));
+    event.at_us = now_us();
     http_reply reply;
-    for (auto key = first; key <= last; ++key)
-        if (m_keys[key].fence > fence)
-        {
-            reply.status = 409;
-            return reply;
-        }
-    for (auto key = first; key <= last; ++key)
-        m_keys[key] = {fence, boot_clock::now() + lease};
-    return reply;
+    const std::span keys(m_keys.begin() + event.first, m_keys.begin() + event.last + 1);
+    if (std::ranges::any_of(keys, [&](const key_state& it) { return it.fence > event.fence; }))
+    {
+        event.kind = hold_kind::refusal;
+        log_hold(std::move(event));
+        reply.status = 409;
+        co_return reply;
+    }
+    const auto now = boot_clock::now();
+    event.kind =
+        std::ranges::all_of(keys, [&](const key_state& it) { return it.lease_until > now; })
+            ? hold_kind::renewal
+            : hold_kind::grant;
+    event.until_us = until.time_since_epoch().count();
+    std::ranges::fill(keys, key_state{event.fence, until});
+    log_hold(std::move(event));
+    co_return reply;
 }
 
 asio::awaitable<http_reply> worker_standin::release(const http_call& call)
 {
     const auto document = boost::json::parse(call.body);
     const auto& body = document.as_object();
-    const auto range = range_of(body);
-    const auto first = range.first;
-    const auto last = range.second;
-    const auto fence = body.at("fence").to_number<std::uint64_t>();
-    for (auto key = first; key <= last; ++key)
-        m_keys[key] = {std::max(m_keys[key].fence, fence), {}};
+    hold_event event;
+    event.kind = hold_kind::release;
+    std::tie(event.first, event.last) = range_of(body);
+    event.fence = body.at("fence").to_number<std::uint64_t>();
+    event.arrived_us = event.at_us = now_us();
+    for (auto key = event.first; key <= event.last; ++key)
+        m_keys[key] = {std::max(m_keys[key].fence, event.fence), {}};
+    log_hold(event);
     const auto is_busy = [&]
-    { return m_running.lower_bound(first) != m_running.upper_bound(last); };
+    { return m_running.lower_bound(event.first) != m_running.upper_bound(event.last); };
     while (is_busy())
         co_await delay(m_context, millis(2));
+    event.kind = hold_kind::released;
+    event.at_us = now_us();
+    log_hold(event);
     http_reply reply;
     reply.fields.push_back({"Eelgrassrail-Handover", "handed-over"});
     co_return reply;
--- a/tests/standins/worker_standin.hpp
+++ b/tests/standins/worker_standin.hpp
@@ -1,12 +1,14 @@
 /// Stand-in for a backend server that checks fencing tokens, with a journal of its runs.
 #pragma once
 
+#include "hold_event.hpp"
 #include <eelgrassrail/http/listener.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/describe/class.hpp>
 
 #include <map>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -26,6 +28,11 @@
     std::uint64_t start_time_ms{};  ///< Unix time
     bool prints_runs{};             ///< prints begin and end of each run to standard output
     std::string advertised_address; ///< IP:PORT in the registration; empty: `address`
+    double clock_lag{};             ///< share by which the clock that measures leases runs slow
+    int late_percent{};             ///< of 100 grants, the number taken late, without an answer
+    int late_ms{2'000};             ///< time from the arrival of such a grant until it is taken
+    unsigned seed{1};               ///< of the choice of late grants
+    hold_journal* holds{};          ///< gets the lease events, also the end; null: none
 };
 
 /// One run of a request, for the checks of exclusive ownership and of at-most-once execution.
@@ -44,6 +51,9 @@
 {
   public:
     worker_standin(boost::asio::io_context& context, worker_settings settings);
+    ~worker_standin();
+    worker_standin(const worker_standin&) = delete;
+    worker_standin& operator=(const worker_standin&) = delete;
 
     /// @brief The JSON record that the worker stores under its id.
     /// @param is_leaving whether its state is "draining" instead of "ready"
@@ -72,12 +82,14 @@
     boost::asio::awaitable<http_reply> serve_request(const http_call& call);
     boost::asio::awaitable<http_reply> run(const http_call& call);
     boost::asio::awaitable<http_reply> release(const http_call& call);
-    http_reply grant(const http_call& call);
+    boost::asio::awaitable<http_reply> grant(const http_call& call);
+    void log_hold(hold_event event);
     [[nodiscard]] http_reply not_executed(unsigned status) const;
 
     boost::asio::io_context& m_context;
     worker_settings m_settings;
     std::vector<key_state> m_keys;
+    std::mt19937 m_random;
     std::multimap<std::uint32_t, int> m_running; ///< keys of running requests
     int m_waiting{};                             ///< requests that wait for a slot
     int m_busy{};                                ///< slots in use
