Stand-in store: rates, queued appends, lost and late appends

Cause: the stand-in answered at once and lost answers only after it had executed the append, so no run saw what a slow store does to claims.

Random choices are seeded. The calls of workers and operator are not limited. An entry that is the same as the last one makes no record.

--- a/tests/standins/store_standin.hpp
+++ b/tests/standins/store_standin.hpp
@@ -6,14 +6,21 @@
 #include <boost/asio/io_context.hpp>
 
 #include <map>
+#include <random>
 #include <string>
 #include <vector>
 
 namespace eelgrassrail::test
 {
 
-/// Keeps keyed topics in memory. Faults are set through `faults`, or with POST
-/// /faults?turn_away=STATUS&lose_answers=PERCENT&slow_ms=MS; parameters not given are reset to 0.
+/// Keeps keyed topics in memory. Faults are set through `faults`, or with POST /faults with the
+/// names of store_standin.cpp; parameters not given are reset to 0. POST /compact?topic=NAME
+/// deletes history, POST /lapse?key=ID&ms=TIME removes a worker's entry and ignores its reports for
+/// a time.
+///
+/// The calls of the workers and the operator (topics keyed.servers, keyed.op) are subject to no
+/// limit and no fault of appends. Random choices come from one generator, so they are the same for
+/// the same seed and order of calls.
 class store_standin
 {
   public:
@@ -25,8 +32,19 @@
         int reject_status{};       ///< HTTP status that every call gets; 0: none
         int lost_answer_percent{}; ///< of 100 appends, the number executed but answered 504
         int slow_ms{};             ///< delay of each answer
+        int random_ms{};           ///< further delay, up to this, before the call or its answer
+        int writes_per_s{};        ///< appends beyond it get 429; 0: no limit
+        int reads_per_s{};         ///< reads beyond it get 429; 0: no limit
+        int append_ms{};           ///< time of one append; those of a topic run one after another
+        int lost_before_percent{}; ///< of 100 appends, not executed and not answered
+        int lost_after_percent{};  ///< of 100 appends, executed and not answered
+        int late_percent{};        ///< of 100 appends, not answered, and executed later
+        int late_ms{};             ///< greatest time until a late append is executed
     };
 
+    /// @brief Starts the generator of random choices anew.
+    void seed(unsigned number) { m_random.seed(number); }
+
     /// @brief Appends a record. An empty value removes the key from the newest records.
     void put(const std::string& topic, const std::string& key, const std::string& value);
 
@@ -50,17 +68,38 @@
         std::uint64_t first{};       ///< offset of the oldest record kept
         std::vector<record> records; ///< records[n] has the offset first + n
         std::map<std::string, std::pair<std::uint64_t, std::string>> newest;
+        instant free_at{}; ///< end of the last append that waits
 
         [[nodiscard]] std::uint64_t end() const { return first + records.size(); }
     };
 
+    /// A token bucket that holds the calls of one second.
+    struct rate_bucket
+    {
+        double tokens{};
+        instant refilled_at{};
+    };
+
     boost::asio::awaitable<http_reply> serve(http_call call);
+    boost::asio::awaitable<http_reply> serve_node(http_call call);
+    boost::asio::awaitable<http_reply> append_in_turn(http_call call);
+    boost::asio::awaitable<void> delay(millis time);
+    bool take(rate_bucket& bucket, int per_s);
+    bool happens(int percent);
+    void set_faults(const http_call& call);
+    bool is_news(const std::string& id, const std::string& value);
+    void lapse(const std::string& id, millis time);
     boost::asio::awaitable<http_reply> read(const http_call& call);
     http_reply newest(const http_call& call);
+    http_reply newest_of_key(const http_call& call);
     http_reply append(const http_call& call);
 
     boost::asio::io_context& m_context;
     std::map<std::string, topic_state> m_topics;
+    std::map<std::string, instant> m_lapsed_until; ///< by key of keyed.servers
+    rate_bucket m_writes;
+    rate_bucket m_reads;
+    std::mt19937 m_random;
     unsigned m_lossy_appends{};
     http_listener m_listener;
 };
