--- a/tests/soak/fault_proxy.cpp
+++ b/tests/soak/fault_proxy.cpp
@@ -1,6 +1,8 @@
 /// Forwards each connection with two coroutines, one per direction.
 #include "fault_proxy.hpp"
 
+#include "soak_config.hpp"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -27,7 +29,7 @@
 
 tcp::endpoint loopback(std::uint16_t port)
 {
-    return {asio::ip::address_v4::loopback(), port};
+    return {asio::ip::make_address(soak_ip), port};
 }
 
 } // namespace
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -1,7 +1,7 @@
 /// Runs load and faults of one seed and checks the guarantees.
 #include "soak_world.hpp"
 
-#include "log_record_bytes.hpp"
+#include "soak_config.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -12,6 +12,7 @@
 #include <filesystem>
 #include <fstream>
 #include <map>
+#include <numeric>
 #include <sstream>
 
 namespace eelgrassrail::soak
@@ -24,29 +25,16 @@
 
 constexpr const char* attempt_id_field = "Eelgrassrail-Attempt-Id";
 constexpr std::uint32_t shard_key_count = 65'536;
+constexpr std::uint64_t first_born_ms = 1'700'000'000'000;
 
-std::string address(std::uint16_t port)
+std::int64_t now_us()
 {
-    return "127.0.0.1:" + std::to_string(port);
+    return boot_clock::now().time_since_epoch().count();
 }
 
-std::string rule(const std::string& name, bool is_idempotent, const std::string& service)
-{
-    return R"({"name":")" + name + R"(","kind":")" + (is_idempotent ? "safe" : "unsafe") +
-           R"(","target_latency":"300ms","priority":)" + (is_idempotent ? "1" : "0") +
-           R"(,"match":{"path_prefix":"/)" + name + R"(/"},"action":{"service":")" + service +
-           R"(","timeout":"1500ms","max_attempts":3}})";
-}
-
-std::string config_text(unsigned version)
+std::string address(std::uint16_t port)
 {
-    return R"({"version":"r)" + std::to_string(version) +
-           R"(","limits":{"max_header_bytes":16384,"max_body_bytes":100000,)"
-           R"("header_timeout":"3000ms","idle_timeout":"15s"},"listeners":[{"host":"soak","rules":[)" +
-           rule("read", true, "keys") + "," + rule("file", false, "keys") + "," +
-           rule("look", true, "plain") + "," + rule("book", false, "plain") +
-           R"(]}],"clusters":[{"name":"keys","max_connections":100,"sharded":true,"warm":"1s"},)"
-           R"({"name":"plain","max_connections":100}]})";
+    return std::string(soak_ip) + ":" + std::to_string(port);
 }
 
 /// One run of a request, from the log of a worker process.
@@ -101,14 +89,15 @@
     , m_random(seed)
     , m_sizes(sizes)
     , m_store_port(next_port())
+    , m_store_control(context.get_executor(), address(m_store_port))
+    , m_holds(m_folder)
 {
     std::filesystem::remove_all(m_folder);
     std::filesystem::create_directories(m_folder);
     m_store.emplace(m_bin + "/standin_store",
-                    std::vector<std::string>{"--address=" + address(m_store_port)},
+                    std::vector<std::string>{"--address=" + address(m_store_port),
+                                             "--seed=" + std::to_string(seed)},
                     m_folder + "/store.log");
-    m_store_client =
-        std::make_unique<http_client>(context.get_executor(), address(m_store_port), 2);
     for (std::size_t n = 0; n < m_sizes.keyed_workers + m_sizes.plain_workers; ++n)
     {
         worker item;
@@ -140,7 +129,7 @@
         (item.name == "r0" ? m_first_router_bin : m_bin) + "/eelgrassrail_platform",
         std::vector<std::string>{"--vm=" + item.name,
                                  std::string("--zone=") + (item.front_port % 2 == 0 ? "z1" : "z2"),
-                                 "--ip=127.0.0.1", "--front=" + address(front_port),
+                                 std::string("--ip=") + soak_ip, "--front=" + address(front_port),
                                  "--ready=" + address(static_cast<std::uint16_t>(front_port + 1)),
                                  "--internal_ports=" + std::to_string(front_port + 2),
                                  "--store=" + address(item.store_port), "--grace=4s",
@@ -151,16 +140,23 @@
 void soak_world::start(worker& item)
 {
     ++item.starts;
-    item.process.emplace(m_bin + "/standin_worker",
-                         std::vector<std::string>{
-                             "--id=" + item.id, "--address=" + address(item.port),
-                             "--advertise=" + address(static_cast<std::uint16_t>(item.port + 1)),
-                             "--store=" + address(m_store_port),
-                             std::string("--service=") + (item.is_sharded ? "keys" : "plain"),
-                             std::string("--divided=") + (item.is_sharded ? "true" : "false"),
-                             "--born_ms=" + std::to_string(1'700'000'000'000 + item.starts)},
-                         m_folder + "/worker-" + item.id + "-" + std::to_string(item.starts) +
-                             ".log");
+    item.process.emplace(
+        m_bin + "/standin_worker",
+        std::vector<std::string>{
+            "--id=" + item.id, "--address=" + address(item.port),
+            "--advertise=" + address(static_cast<std::uint16_t>(item.port + 1)),
+            "--store=" + address(m_store_port),
+            std::string("--service=") + (item.is_sharded ? "keys" : "plain"),
+            std::string("--divided=") + (item.is_sharded ? "true" : "false"), "--clock_lag=0.02",
+            "--late_percent=1", "--seed=" + std::to_string(item.port + item.starts),
+            "--born_ms=" + std::to_string(first_born_ms + item.starts)},
+        m_folder + "/worker-" + item.id + "-" + std::to_string(item.starts) + ".log");
+}
+
+void soak_world::kill(worker& item)
+{
+    item.process->kill();
+    m_holds.add_end(item.id + "#" + std::to_string(first_born_ms + item.starts), now_us());
 }
 
 std::size_t soak_world::random_below(std::size_t limit)
@@ -170,8 +166,7 @@
 
 void soak_world::log_fault(const std::string& text)
 {
-    std::ofstream(m_folder + "/faults.txt", std::ios::app)
-        << boot_clock::now().time_since_epoch().count() << ' ' << text << '\n';
+    std::ofstream(m_folder + "/faults.txt", std::ios::app) << now_us() << ' ' << text << '\n';
 }
 
 asio::awaitable<void> soak_world::delay(millis time)
@@ -180,23 +175,6 @@
     co_await timer.async_wait(asio::use_awaitable);
 }
 
-asio::awaitable<void> soak_world::set_store_faults(std::string query)
-{
-    http_call call;
-    call.method = "POST";
-    call.target = "/faults?" + query;
-    co_await m_store_client->exchange(std::move(call), boot_clock::now() + millis(1'000));
-}
-
-asio::awaitable<void> soak_world::publish_config()
-{
-    http_call call;
-    call.method = "POST";
-    call.target = "/api/log-append?topic=keyed.op&part=0";
-    call.body = test::log_record_bytes("config", config_text(m_config_version++));
-    co_await m_store_client->exchange(std::move(call), boot_clock::now() + millis(1'000));
-}
-
 asio::awaitable<client_result> soak_world::send_request(const router& at, bool is_keyed,
                                                         bool is_idempotent)
 {
@@ -286,12 +264,28 @@
     constexpr std::array modes{proxy_mode::delay, proxy_mode::silent, proxy_mode::one_way,
                                proxy_mode::refuse};
     const auto mode = modes.at(random_below(modes.size()));
-    const auto kind = random_below(9);
+    constexpr std::size_t kinds = 13;
+    const auto kind = random_below(kinds);
     log_fault("fault kind=" + std::to_string(kind) + " router=" + entry.name +
               " worker=" + server.id + " ms=" + std::to_string(length.count()) +
               " mode=" + std::to_string(static_cast<int>(mode)));
     const auto router_index = static_cast<std::size_t>(&entry - m_routers.data());
-    const auto began_us = boot_clock::now().time_since_epoch().count();
+    const auto began_us = now_us();
+    co_await apply_fault(kind, entry, server, mode, length);
+    constexpr std::size_t router_faults = 3; // the first kinds
+    if (kind < router_faults)
+        m_evidence.faults.push_back({router_index, began_us, now_us()});
+    // Grants that were held up on their way, or came from a router that was just thawed.
+    if (kind == 1)
+        m_holds.add_span({"", entry.name, now_us() - 1'000, now_us() + thaw_us, "sender thawed"});
+    if (kind == 5 && mode == proxy_mode::silent)
+        m_holds.add_span({server.id, "", began_us, now_us() + thaw_us, "link healed"});
+    --m_faults_running;
+}
+
+asio::awaitable<void> soak_world::apply_fault(std::size_t kind, router& entry, worker& server,
+                                              proxy_mode mode, millis length)
+{
     switch (kind)
     {
     case 0: // a router is killed and restarted
@@ -301,7 +295,7 @@
         break;
     case 1: // a router is paused
         entry.process->send(SIGSTOP);
-        co_await delay(length);
+        co_await delay(length * (1 + static_cast<int>(random_below(4))));
         if (entry.process)
             entry.process->send(SIGCONT);
         break;
@@ -315,7 +309,7 @@
         entry.process->send(SIGHUP);
         break;
     case 4: // a worker crashes and restarts under the same id
-        server.process->kill();
+        kill(server);
         co_await delay(length);
         start(server);
         break;
@@ -330,29 +324,184 @@
         entry.store_proxy->set_mode(proxy_mode::pass);
         break;
     case 7: // fault of the store
-        co_await set_store_faults(random_below(2) == 0   ? "turn_away=503"
-                                  : random_below(2) == 0 ? "lose_answers=40"
-                                                         : "slow_ms=200");
-        co_await delay(length);
-        co_await set_store_faults("turn_away=0");
+        co_await harm_store(length, any_harm());
+        break;
+    case 8: // a new version of the configuration
+        co_await m_store_control.publish_config(m_config_version++);
+        break;
+    case 9: // all or many routers are killed at one moment, at times while the store is in trouble
+        if (random_below(2) == 0)
+            asio::co_spawn(m_context, harm_store(length * 2, any_harm()), asio::detached);
+        co_await kill_routers(choose_routers(random_below(2) == 0
+                                                 ? m_routers.size()
+                                                 : 1 + random_below(m_routers.size())),
+                              millis(100));
         break;
-    default: // a new version of the configuration
-        co_await publish_config();
+    case 10: // the routers that last appended a record are killed, one after another, and away for
+             // a time; their successors get few answers to their claims
+        asio::co_spawn(m_context, harm_store(length * 4, "lost_after=60"), asio::detached);
+        for (std::size_t n = 1 + random_below(3); n > 0; --n)
+        {
+            const auto record = co_await m_store_control.ownership();
+            co_await kill_routers(coordinator_of(record),
+                                  length * static_cast<int>(1 + random_below(2)));
+        }
+        break;
+    case 11: // the next claimer is killed in its claim
+        co_await kill_claimer(length * 2);
+        break;
+    default: // the entry of a living worker lapses, or history is deleted
+        if (random_below(3) == 0)
+            co_await m_store_control.post("/compact?topic=keyed.ownership");
+        else
+            co_await m_store_control.post("/lapse?key=" + server.id +
+                                          "&ms=" + std::to_string(2 * length.count()));
         break;
     }
-    constexpr std::size_t router_faults = 3; // the first kinds
-    if (kind < router_faults)
-        m_evidence.faults.push_back(
-            {router_index, began_us, boot_clock::now().time_since_epoch().count()});
+}
+
+/// One of the kinds of trouble that the store may be in: limits, queues, lost and late appends.
+const char* soak_world::any_harm()
+{
+    constexpr std::array kinds{"turn_away=503",
+                               "lose_answers=40",
+                               "slow_ms=200",
+                               "random_ms=1500",
+                               "lost_before=20&lost_after=30",
+                               "late_percent=30&late_ms=4000&lost_after=20",
+                               "writes_per_s=4&reads_per_s=20&append_ms=200"};
+    return kinds.at(random_below(kinds.size()));
+}
+
+asio::awaitable<void> soak_world::harm_store(millis time, const char* kind)
+{
+    log_fault(std::string("store ") + kind);
+    ++m_faults_running;
+    co_await m_store_control.set_faults(kind);
+    co_await delay(time);
+    co_await m_store_control.set_faults("turn_away=0");
+    --m_faults_running;
+}
+
+std::vector<std::size_t> soak_world::choose_routers(std::size_t count)
+{
+    std::vector<std::size_t> chosen(m_routers.size());
+    std::iota(chosen.begin(), chosen.end(), 0);
+    std::ranges::shuffle(chosen, m_random);
+    chosen.resize(count);
+    return chosen;
+}
+
+std::vector<std::size_t> soak_world::coordinator_of(const ownership_record& record) const
+{
+    const auto peer_address = [](const router& item)
+    { return address(static_cast<std::uint16_t>(item.front_port + 2)); };
+    const auto it = std::ranges::find(m_routers, record.coordinator.address, peer_address);
+    std::vector<std::size_t> found;
+    if (it != m_routers.end() && it->process->is_running())
+        found.push_back(static_cast<std::size_t>(it - m_routers.begin()));
+    return found;
+}
+
+/// Kills routers at one moment; each starts again at its address, after the absence and up to 0.9
+/// s.
+asio::awaitable<void> soak_world::kill_routers(std::vector<std::size_t> chosen, millis absence)
+{
+    if (chosen.empty())
+        co_return;
+    const auto began_us = now_us();
+    log_fault("kill of routers count=" + std::to_string(chosen.size()) +
+              " first=" + m_routers[chosen.front()].name);
+    for (const auto n : chosen)
+        m_routers[n].process->send(SIGKILL);
+    for (const auto n : chosen)
+        m_routers[n].process->kill();
+    co_await delay(absence);
+    constexpr std::size_t max_restart_ms = 900;
+    for (const auto n : chosen)
+    {
+        co_await delay(millis(random_below(max_restart_ms) / chosen.size()));
+        if (!m_routers[n].process->is_running())
+            start(m_routers[n]);
+        m_evidence.faults.push_back({n, began_us, now_us()});
+    }
+}
+
+/// Kills the next router that the record names newly, right after its claim was appended.
+asio::awaitable<void> soak_world::kill_claimer(millis time)
+{
+    const auto until = boot_clock::now() + time;
+    const auto known = co_await m_store_control.ownership();
+    while (boot_clock::now() < until)
+    {
+        co_await delay(millis(5));
+        const auto record = co_await m_store_control.ownership();
+        const auto claimer = coordinator_of(record);
+        if (record.coordinator == known.coordinator || claimer.empty())
+            continue;
+        log_fault("kill of the claimer");
+        co_await kill_routers(claimer, millis(100));
+        co_return;
+    }
+}
+
+/// The coordinator is killed right after it renewed the leases, the answer to its successor's first
+/// claim is lost, and the entry of a worker that holds keys lapses.
+asio::awaitable<void> soak_world::lose_claim_answer()
+{
+    constexpr std::int64_t max_age_us = 150'000;
+    constexpr millis max_wait{4'000};
+    constexpr millis poll_interval{10};
+    const auto until = boot_clock::now() + max_wait;
+    while (boot_clock::now() < until && now_us() - m_holds.last_renewal_us() > max_age_us)
+    {
+        m_holds.poll();
+        co_await delay(poll_interval);
+    }
+    const auto before = co_await m_store_control.ownership();
+    co_await m_store_control.set_faults("lost_after=100");
+    ++m_faults_running;
+    asio::co_spawn(m_context, end_answers_lost(before.coordinator), asio::detached);
+    const auto& source = m_workers[random_below(m_sizes.keyed_workers)];
+    log_fault("answer of a claim is lost, entry lapses worker=" + source.id);
+    co_await m_store_control.post("/lapse?key=" + source.id + "&ms=4000");
+    co_await kill_routers(coordinator_of(before), millis(3'000));
+}
+
+/// Answers are lost until another process has claimed the role.
+asio::awaitable<void> soak_world::end_answers_lost(coordinator_identity before)
+{
+    constexpr millis max_wait{4'000};
+    const auto until = boot_clock::now() + max_wait;
+    auto record = co_await m_store_control.ownership();
+    while (boot_clock::now() < until && record.coordinator == before)
+    {
+        co_await delay(millis(5));
+        record = co_await m_store_control.ownership();
+    }
+    co_await m_store_control.set_faults("turn_away=0");
     --m_faults_running;
 }
 
+/// Checks the holds while the run lasts.
+asio::awaitable<void> soak_world::watch_holds()
+{
+    constexpr millis interval{1'000};
+    while (m_is_loading)
+    {
+        for (const auto& text : m_holds.poll())
+            log_fault(text);
+        co_await delay(interval);
+    }
+}
+
 asio::awaitable<std::vector<std::string>> soak_world::run(millis fault_time)
 {
     std::vector<std::string> violations;
     co_await delay(millis(300));
-    co_await publish_config();
+    co_await m_store_control.publish_config(m_config_version++);
     co_await delay(millis(2'000));
+    asio::co_spawn(m_context, watch_holds(), asio::detached);
     for (std::size_t n = 0; n < m_sizes.clients; ++n)
         asio::co_spawn(m_context, client(n), asio::detached);
     for (const auto n : {std::size_t{0}, m_sizes.keyed_workers})
@@ -366,6 +515,9 @@
     m_names_limits = false;
     while (m_faults_running + m_limits_running > 0)
         co_await delay(millis(50));
+    co_await lose_claim_answer();
+    while (m_faults_running > 0)
+        co_await delay(millis(50));
     // The keys of a worker that was lost without notice stay unavailable until its leases expire.
     co_await delay(millis(8'000));
     m_is_loading = false;
@@ -377,6 +529,9 @@
     for (auto& item : m_workers)
         item.process.reset();
     check_journals(violations);
+    std::vector<std::string> excluded;
+    std::ranges::copy(m_holds.finish(excluded), std::back_inserter(violations));
+    std::ranges::for_each(excluded, [this](const std::string& text) { log_fault(text); });
     for (const auto& file : std::filesystem::directory_iterator(m_folder))
         if (file.path().stem().string().starts_with("worker"))
             std::ranges::copy(check_limits(file.path().string(), m_evidence),
--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -3,7 +3,9 @@
 
 #include "child_process.hpp"
 #include "fault_proxy.hpp"
+#include "hold_watch.hpp"
 #include "limit_check.hpp"
+#include "store_control.hpp"
 #include <eelgrassrail/http/client.hpp>
 
 #include <memory>
@@ -80,12 +82,23 @@
     boost::asio::awaitable<void> fault();
     boost::asio::awaitable<void> name_limits(std::size_t worker_index);
     boost::asio::awaitable<void> set_limit(std::uint16_t port, std::string text);
-    boost::asio::awaitable<void> set_store_faults(std::string query);
-    boost::asio::awaitable<void> publish_config();
+    boost::asio::awaitable<void> apply_fault(std::size_t kind, router& entry, worker& server,
+                                             proxy_mode mode, millis length);
+    boost::asio::awaitable<void> kill_routers(std::vector<std::size_t> chosen, millis absence);
+    boost::asio::awaitable<void> kill_claimer(millis time);
+    boost::asio::awaitable<void> harm_store(millis time, const char* kind);
+    boost::asio::awaitable<void> lose_claim_answer();
+    boost::asio::awaitable<void> end_answers_lost(coordinator_identity before);
+    boost::asio::awaitable<void> watch_holds();
     boost::asio::awaitable<void> delay(millis time);
     boost::asio::awaitable<void> check_recovery(std::vector<std::string>& violations);
+    [[nodiscard]] const char* any_harm();
+    [[nodiscard]] std::vector<std::size_t> choose_routers(std::size_t count);
+    /// The running router that a record names; none or one.
+    [[nodiscard]] std::vector<std::size_t> coordinator_of(const ownership_record& record) const;
     void start(router& item);
     void start(worker& item);
+    void kill(worker& item);
     void heal();
     void check_journals(std::vector<std::string>& violations) const;
     void log_fault(const std::string& text);
@@ -101,13 +114,14 @@
     soak_sizes m_sizes;
     std::uint16_t m_store_port;
     std::optional<harness::child_process> m_store;
-    std::unique_ptr<http_client> m_store_client;
+    store_control m_store_control;
     std::vector<router> m_routers;
     std::vector<worker> m_workers;
     std::vector<client_result> m_results;
     std::uint64_t m_next_attempt{1};
     unsigned m_config_version{1};
     limit_evidence m_evidence;
+    hold_watch m_holds;
     std::size_t m_faults_running{};
     std::size_t m_limits_running{};
     bool m_names_limits{true};
