Soak: workers that repeat refusals or break off, and requests that are late in a planned stop

Cause: the soak had no faulty answers, and its requests ended within 10 ms, so that no planned stop could cut one. Change: the proxy in front of each worker writes a refusal once more after some requests (with or without its id), or cuts answers at a random byte and ends the connection by a close or a reset, in random turns beside the other faults. In each planned stop six callers have sent half of a request that is not idempotent and runs 1.2 s; the rest follows 0.5 to 3.4 s after the SIGTERM. New check: a request that ran has an answer, unless it was sent in the first 3 s and its worker was at work in the last sixth of the grace. 'Refused although run', 'twice' and 'answer' were checks before and now see these faults. The stand-in worker takes the duration of one run from the query (run_ms). Ruled out: the faults in the stand-in worker itself: it answers through the product's listener, which can't write half an answer.

--- a/tests/soak/fault_proxy.cpp
+++ b/tests/soak/fault_proxy.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/write.hpp>
 
 #include <array>
+#include <string_view>
 
 namespace eelgrassrail::soak
 {
@@ -74,12 +75,41 @@
         co_return;
     m_open.insert(&client);
     m_open.insert(&server);
-    co_await (forward(client, server, false) && forward(server, client, true));
+    history seen;
+    co_await (forward(client, server, false, seen) && forward(server, client, true, seen));
     m_open.erase(&client);
     m_open.erase(&server);
 }
 
-asio::awaitable<void> fault_proxy::forward(socket& from, socket& to, bool is_answer)
+/// Writes the last refusal of the connection once more, at times without its id; or one without an
+/// id if there was none.
+void fault_proxy::repeat_refusal(socket& to, const history& seen)
+{
+    const std::string name = "Eelgrassrail-Attempt-Id: ";
+    auto bytes = seen.refusal;
+    if (bytes.empty())
+        bytes = "HTTP/1.1 503 Full\r\nEelgrassrail-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    const auto at = bytes.find(name);
+    if (at != std::string::npos && m_random() % 2 == 0)
+        bytes.erase(at, bytes.find("\r\n", at) + 2 - at);
+    boost::system::error_code ec;
+    to.write_some(asio::buffer(bytes), ec);
+}
+
+/// @return whether the answer was cut and its connection ended
+bool fault_proxy::cut_answer(socket& to, const char* bytes, std::size_t n)
+{
+    constexpr unsigned one_in = 4;
+    if (n == 0 || m_random() % one_in != 0)
+        return false;
+    boost::system::error_code ec;
+    to.write_some(asio::buffer(bytes, m_random() % n), ec);
+    if (m_random() % 2 == 0)
+        to.set_option(asio::socket_base::linger(true, 0), ec);
+    return true;
+}
+
+asio::awaitable<void> fault_proxy::forward(socket& from, socket& to, bool is_answer, history& seen)
 {
     std::array<char, 16'384> buf{};
     boost::system::error_code ec;
@@ -99,9 +129,22 @@
             timer.expires_after(added_delay);
             co_await timer.async_wait(asio::use_awaitable);
         }
+        const std::string_view bytes(buf.data(), n);
+        const bool is_reply = is_answer && bytes.starts_with("HTTP/1.1 ");
+        if (is_reply && bytes.find("Eelgrassrail-Not-Executed") != std::string_view::npos)
+            seen.refusal = bytes;
+        seen.has_answers |= is_reply;
+        if (is_reply && !ec.failed() && m_answer_fault == answer_fault::cut &&
+            cut_answer(to, buf.data(), n))
+            break;
         if (!ec.failed())
             co_await asio::async_write(to, asio::buffer(buf.data(), n),
                                        asio::redirect_error(asio::use_awaitable, ec));
+        constexpr unsigned repeat_one_in = 3;
+        if (!is_answer && !ec.failed() && seen.has_answers &&
+            bytes.find("Eelgrassrail-Attempt-Id") != std::string_view::npos &&
+            m_answer_fault == answer_fault::repeat && m_random() % repeat_one_in == 0)
+            repeat_refusal(from, seen);
     }
     // Passes the close on, so that the other side notices that its peer has disconnected.
     boost::system::error_code ignored;
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -276,6 +276,63 @@
     --m_limits_running;
 }
 
+/// Workers that write a refusal once more, or break off their answers, one at a time.
+asio::awaitable<void> soak_world::play_faulty_answers()
+{
+    ++m_limits_running;
+    while (m_names_limits)
+    {
+        auto& server = m_workers[random_below(m_workers.size())];
+        const bool repeats = random_below(2) == 0;
+        const millis length(300 + random_below(1'200));
+        log_fault("answers worker=" + server.id + (repeats ? " repeat" : " cut") +
+                  " ms=" + std::to_string(length.count()));
+        server.proxy->set_answer_fault(repeats ? answer_fault::repeat : answer_fault::cut);
+        co_await delay(length);
+        server.proxy->set_answer_fault(answer_fault::none);
+        co_await delay(millis(random_below(1'500)));
+    }
+    --m_limits_running;
+}
+
+/// A request that is not idempotent and runs long; its second half is sent late in a planned stop.
+asio::awaitable<void> soak_world::call_late(std::size_t router_index, std::int64_t stopped_us,
+                                            millis rest_after)
+{
+    ++m_clients_running;
+    const auto attempt = "late" + std::to_string(m_next_attempt++);
+    m_evidence.routers[attempt] = router_index;
+    auto sent = co_await send_late(
+        m_context, m_routers[router_index].front_port,
+        "POST /book/x?run_ms=1200 HTTP/1.1\r\nHost: soak\r\n" + std::string(attempt_id_field) +
+            ": " + attempt + "\r\nEelgrassrail-Deadline-Ms: 2000\r\nContent-Length: 0\r\n\r\n",
+        boot_clock::now() + rest_after);
+    sent.attempt = attempt;
+    sent.router = router_index;
+    sent.stopped_us = stopped_us;
+    client_result result;
+    result.attempt = attempt;
+    result.status = sent.status;
+    result.is_matching = true; // its body is not kept
+    m_results.push_back(result);
+    m_late_requests.push_back(std::move(sent));
+    --m_clients_running;
+}
+
+/// Whether the router was also killed, paused or stopped again during the stop.
+bool soak_world::had_other_fault(const late_request& request) const
+{
+    constexpr std::int64_t stop_us = 4'200'000;
+    const auto n = std::ranges::count_if(m_evidence.faults,
+                                         [&](const router_fault& fault)
+                                         {
+                                             return fault.router == request.router &&
+                                                    fault.from_us < request.stopped_us + stop_us &&
+                                                    fault.to_us > request.stopped_us;
+                                         });
+    return n > 1; // the stop itself is one
+}
+
 /// One fault of random kind and duration. Several run concurrently.
 asio::awaitable<void> soak_world::fault()
 {
@@ -307,6 +364,9 @@
         break;
     case 2: // planned stop of a router, which keeps serving until its grace period ends
         entry.process->send(SIGTERM);
+        for (const auto rest_after : {500, 2'000, 2'700, 3'100, 3'250, 3'400})
+            asio::co_spawn(m_context, call_late(router_index, began_us, millis(rest_after)),
+                           asio::detached);
         co_await delay(millis(4'200));
         entry.process->kill();
         start(entry);
@@ -357,6 +417,7 @@
         asio::co_spawn(m_context, client(n), asio::detached);
     for (const auto n : {std::size_t{0}, m_sizes.keyed_workers})
         asio::co_spawn(m_context, name_limits(n), asio::detached);
+    asio::co_spawn(m_context, play_faulty_answers(), asio::detached);
     const auto deadline = boot_clock::now() + fault_time;
     while (boot_clock::now() < deadline)
     {
@@ -422,6 +483,13 @@
         if (says_not_run && n > 0)
             violations.push_back("refused: " + item.attempt + " ran although it was refused");
     }
+    std::vector<late_run> late_runs;
+    for (const auto& run : runs)
+        late_runs.push_back({run.attempt, run.began_us, run.ended_us});
+    auto late = m_late_requests;
+    std::erase_if(late, [this](const late_request& request) { return had_other_fault(request); });
+    std::ranges::copy(check_late_requests(late, late_runs, millis(4'000)),
+                      std::back_inserter(violations));
     std::erase_if(runs, [](const run_record& run) { return run.fence == 0; });
     std::ranges::sort(runs, {}, [](const run_record& r) { return std::pair(r.key, r.began_us); });
     for (std::size_t n = 1; n < runs.size(); ++n)
--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -3,6 +3,7 @@
 
 #include "child_process.hpp"
 #include "fault_proxy.hpp"
+#include "late_caller.hpp"
 #include "limit_check.hpp"
 #include <eelgrassrail/http/client.hpp>
 
@@ -78,6 +79,10 @@
     boost::asio::awaitable<client_result> send_request(const router& at, bool is_keyed,
                                                        bool is_idempotent);
     boost::asio::awaitable<void> fault();
+    boost::asio::awaitable<void> play_faulty_answers();
+    boost::asio::awaitable<void> call_late(std::size_t router_index, std::int64_t stopped_us,
+                                           millis rest_after);
+    [[nodiscard]] bool had_other_fault(const late_request& request) const;
     boost::asio::awaitable<void> name_limits(std::size_t worker_index);
     boost::asio::awaitable<void> set_limit(std::uint16_t port, std::string text);
     boost::asio::awaitable<void> set_store_faults(std::string query);
@@ -108,6 +113,7 @@
     std::uint64_t m_next_attempt{1};
     unsigned m_config_version{1};
     limit_evidence m_evidence;
+    std::vector<late_request> m_late_requests;
     std::size_t m_faults_running{};
     std::size_t m_limits_running{};
     bool m_names_limits{true};
--- a/tests/standins/worker_standin.cpp
+++ b/tests/standins/worker_standin.cpp
@@ -187,7 +187,8 @@
         std::cout << "begin " << *attempt << ' ' << key << ' ' << m_journal[index].fence << ' '
                   << m_journal[index].began_us << '\n'
                   << std::flush;
-    co_await delay(m_context, millis(m_settings.run_ms));
+    const auto run_ms = query_value(call.target, "run_ms"); // of this request only
+    co_await delay(m_context, millis(run_ms ? std::stoi(*run_ms) : m_settings.run_ms));
     m_journal[index].ended_us = now_us();
     if (m_settings.prints_runs)
         std::cout << "end " << *attempt << ' ' << m_journal[index].ended_us << '\n' << std::flush;
