--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -484,6 +484,7 @@
             violations.push_back("refused: " + item.attempt + " ran although it was refused");
     }
     std::vector<late_run> late_runs;
+    late_runs.reserve(runs.size());
     for (const auto& run : runs)
         late_runs.push_back({run.attempt, run.began_us, run.ended_us});
     auto late = m_late_requests;
