Soak: workers that leave, and that name a time, by their answers

Change: one worker after the other says for 3 to 6 s that it is leaving while its entry says ready, ends and starts again under its id; another turns every third request away, with times from 0.7 to 5 s, 0, or no number. drain_check compares, per router, arrivals in the worker's log with the answers that callers got (DRAIN) and with the 503 that named a time (BUDGET); routers with a fault since, and for BUDGET workers with a network fault, are excused. Both faults run beside the others, whose kinds are unchanged. Ruled out: an arrival as the time that counts for DRAIN. A request that was sent before may arrive later, so the client's time counts.

--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -214,9 +214,14 @@
     if (is_keyed)
         call.fields.push_back({"Eelgrassrail-Shard-Key", std::to_string(key)});
     m_evidence.routers[result.attempt] = static_cast<std::size_t>(&at - m_routers.data());
+    m_drain_evidence.requests[result.attempt] = {static_cast<std::size_t>(&at - m_routers.data()),
+                                                 boot_clock::now().time_since_epoch().count(), 0};
     http_client client(m_context.get_executor(), address(at.front_port), 1);
     const auto exchange =
         co_await client.exchange(std::move(call), boot_clock::now() + millis(3'000));
+    if (find_field(exchange.reply.fields, "Server-Leaving") == std::string_view("1"))
+        m_drain_evidence.requests[result.attempt].leaving_us =
+            boot_clock::now().time_since_epoch().count();
     if (exchange.result == exchange_result::complete)
     {
         result.status = exchange.reply.status;
@@ -340,6 +345,10 @@
         co_await publish_config();
         break;
     }
+    constexpr std::size_t worker_network_fault = 5;
+    if (kind == worker_network_fault)
+        m_drain_evidence.cuts.push_back(
+            {server.id, began_us, boot_clock::now().time_since_epoch().count()});
     constexpr std::size_t router_faults = 3; // the first kinds
     if (kind < router_faults)
         m_evidence.faults.push_back(
@@ -357,6 +366,8 @@
         asio::co_spawn(m_context, client(n), asio::detached);
     for (const auto n : {std::size_t{0}, m_sizes.keyed_workers})
         asio::co_spawn(m_context, name_limits(n), asio::detached);
+    asio::co_spawn(m_context, let_workers_leave(), asio::detached);
+    asio::co_spawn(m_context, let_workers_turn_away(), asio::detached);
     const auto deadline = boot_clock::now() + fault_time;
     while (boot_clock::now() < deadline)
     {
@@ -364,6 +375,7 @@
         asio::co_spawn(m_context, fault(), asio::detached);
     }
     m_names_limits = false;
+    m_drains = false;
     while (m_faults_running + m_limits_running > 0)
         co_await delay(millis(50));
     // The keys of a worker that was lost without notice stay unavailable until its leases expire.
@@ -379,8 +391,13 @@
     check_journals(violations);
     for (const auto& file : std::filesystem::directory_iterator(m_folder))
         if (file.path().stem().string().starts_with("worker"))
+        {
             std::ranges::copy(check_limits(file.path().string(), m_evidence),
                               std::back_inserter(violations));
+            std::ranges::copy(
+                check_drain(file.path().string(), m_drain_evidence, m_evidence.faults),
+                std::back_inserter(violations));
+        }
     co_return violations;
 }
 
--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "child_process.hpp"
+#include "drain_check.hpp"
 #include "fault_proxy.hpp"
 #include "limit_check.hpp"
 #include <eelgrassrail/http/client.hpp>
@@ -80,6 +81,9 @@
     boost::asio::awaitable<void> fault();
     boost::asio::awaitable<void> name_limits(std::size_t worker_index);
     boost::asio::awaitable<void> set_limit(std::uint16_t port, std::string text);
+    boost::asio::awaitable<void> call_worker(std::uint16_t port, std::string target);
+    boost::asio::awaitable<void> let_workers_leave();
+    boost::asio::awaitable<void> let_workers_turn_away();
     boost::asio::awaitable<void> set_store_faults(std::string query);
     boost::asio::awaitable<void> publish_config();
     boost::asio::awaitable<void> delay(millis time);
@@ -108,6 +112,8 @@
     std::uint64_t m_next_attempt{1};
     unsigned m_config_version{1};
     limit_evidence m_evidence;
+    drain_evidence m_drain_evidence;
+    bool m_drains{true}; ///< workers leave and turn requests away
     std::size_t m_faults_running{};
     std::size_t m_limits_running{};
     bool m_names_limits{true};
