--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -192,9 +192,14 @@
     if (is_keyed)
         call.fields.push_back({"Eelgrassrail-Shard-Key", std::to_string(key)});
     m_evidence.routers[result.attempt] = static_cast<std::size_t>(&at - m_routers.data());
+    m_drain_evidence.requests[result.attempt] = {static_cast<std::size_t>(&at - m_routers.data()),
+                                                 boot_clock::now().time_since_epoch().count(), 0};
     http_client client(m_context.get_executor(), address(at.front_port), 1);
     const auto exchange =
         co_await client.exchange(std::move(call), boot_clock::now() + millis(3'000));
+    if (find_field(exchange.reply.fields, "Server-Leaving") == std::string_view("1"))
+        m_drain_evidence.requests[result.attempt].leaving_us =
+            boot_clock::now().time_since_epoch().count();
     if (exchange.result == exchange_result::complete)
     {
         result.status = exchange.reply.status;
@@ -332,6 +337,9 @@
     constexpr std::size_t router_faults = 3; // the first kinds
     if (kind < router_faults)
         m_evidence.faults.push_back({router_index, began_us, now_us()});
+    constexpr std::size_t worker_network_fault = 5;
+    if (kind == worker_network_fault)
+        m_drain_evidence.cuts.push_back({server.id, began_us, now_us()});
     // Grants that were held up on their way, or came from a router that was just thawed.
     if (kind == 1)
         m_holds.add_span({"", entry.name, now_us() - 1'000, now_us() + thaw_us, "sender thawed"});
@@ -343,6 +351,8 @@
 asio::awaitable<void> soak_world::apply_fault(std::size_t kind, router& entry, worker& server,
                                               proxy_mode mode, millis length)
 {
+    const auto router_index = static_cast<std::size_t>(&entry - m_routers.data());
+    const auto began_us = now_us();
     switch (kind)
     {
     case 0: // a router is killed and restarted
@@ -567,6 +577,8 @@
     for (const auto n : {std::size_t{0}, m_sizes.keyed_workers})
         asio::co_spawn(m_context, name_limits(n), asio::detached);
     asio::co_spawn(m_context, play_faulty_answers(), asio::detached);
+    asio::co_spawn(m_context, let_workers_leave(), asio::detached);
+    asio::co_spawn(m_context, let_workers_turn_away(), asio::detached);
     const auto deadline = boot_clock::now() + fault_time;
     while (boot_clock::now() < deadline)
     {
@@ -574,6 +586,7 @@
         asio::co_spawn(m_context, fault(), asio::detached);
     }
     m_names_limits = false;
+    m_drains = false;
     while (m_faults_running + m_limits_running > 0)
         co_await delay(millis(50));
     co_await lose_claim_answer();
@@ -595,8 +608,13 @@
     std::ranges::for_each(excluded, [this](const std::string& text) { log_fault(text); });
     for (const auto& file : std::filesystem::directory_iterator(m_folder))
         if (file.path().stem().string().starts_with("worker"))
+        {
             std::ranges::copy(check_limits(file.path().string(), m_evidence),
                               std::back_inserter(violations));
+            std::ranges::copy(
+                check_drain(file.path().string(), m_drain_evidence, m_evidence.faults),
+                std::back_inserter(violations));
+        }
     co_return violations;
 }
 
--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "child_process.hpp"
+#include "drain_check.hpp"
 #include "fault_proxy.hpp"
 #include "hold_watch.hpp"
 #include "late_caller.hpp"
@@ -95,6 +96,9 @@
     boost::asio::awaitable<void> lose_claim_answer();
     boost::asio::awaitable<void> end_answers_lost(coordinator_identity before);
     boost::asio::awaitable<void> watch_holds();
+    boost::asio::awaitable<void> call_worker(std::uint16_t port, std::string target);
+    boost::asio::awaitable<void> let_workers_leave();
+    boost::asio::awaitable<void> let_workers_turn_away();
     boost::asio::awaitable<void> delay(millis time);
     boost::asio::awaitable<void> check_recovery(std::vector<std::string>& violations);
     [[nodiscard]] const char* any_harm();
@@ -128,6 +132,8 @@
     limit_evidence m_evidence;
     hold_watch m_holds;
     std::vector<late_request> m_late_requests;
+    drain_evidence m_drain_evidence;
+    bool m_drains{true}; ///< workers leave and turn requests away
     std::size_t m_faults_running{};
     std::size_t m_limits_running{};
     bool m_names_limits{true};
