--- a/tests/model/hold_check.cpp
+++ b/tests/model/hold_check.cpp
@@ -108,7 +108,8 @@
             std::ranges::any_of(result, [&](const key_violation& it)
                                 { return it.kind == kind && it.holder == holder; });
         if (!is_known)
-            result.push_back({kind, key, grant.life, holder});
+            result.push_back(
+                {kind, key, grant.life, holder, grant.is_late || m_keys[key].was_late});
     };
     for (auto n = grant.first; n <= grant.last; ++n)
     {
@@ -135,6 +136,7 @@
         key.counted_until = grant.is_excused ? (is_same ? key.counted_until : now) : grant.until;
         key.until = grant.until;
         key.was_released = false;
+        key.was_late = grant.is_late;
     }
     return result;
 }
--- a/tests/model/hold_check.hpp
+++ b/tests/model/hold_check.hpp
@@ -34,6 +34,7 @@
     std::uint64_t fence{};
     instant until{};   ///< end of the lease by the worker's clock
     bool is_excused{}; ///< it does not count, by the rules
+    bool is_late{};    ///< it arrived beyond 0.5 s after it was written
 };
 
 /// A rule that was broken.
@@ -43,6 +44,7 @@
     std::uint32_t key{};  ///< first one
     std::size_t taker{};  ///< life of a worker
     std::size_t holder{}; ///< life of the other worker
+    bool is_late{};       ///< one of the two grants arrived late
 };
 
 /// Times for which keys were without a holder.
@@ -110,6 +112,7 @@
         instant until{};
         instant counted_until{}; ///< without the grants that do not count
         bool was_released{};
+        bool was_late{};            ///< the last grant
         std::size_t top_life{none}; ///< had the highest token
         std::uint64_t top_token{};
         std::uint64_t other_token{}; ///< highest one of other lives
--- a/tests/model/worker_fleet.cpp
+++ b/tests/model/worker_fleet.cpp
@@ -25,6 +25,9 @@
 constexpr double min_lapse_ms = 2'000.0;
 constexpr double max_lapse_ms = 5'000.0;
 
+/// A grant that arrives later than this after it was written is late: the router takes it for lost.
+constexpr millis latest_arrival{500};
+
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_conflict = 409;
 constexpr unsigned status_other_worker = 421;
@@ -239,9 +242,10 @@
                                                                         (1.0 + taker.slowness));
     event.until = event.at + lease;
     m_journal.add(event);
-    const auto broken = m_holds.take(
-        {event.life, event.first, event.last, event.fence, event.until, event.is_excused},
-        event.at);
+    const auto broken =
+        m_holds.take({event.life, event.first, event.last, event.fence, event.until,
+                      event.is_excused, event.at - event.written_at > latest_arrival},
+                     event.at);
     for (const auto& violation : broken)
         report(violation, event);
     return {event.status, event.at};
@@ -276,6 +280,7 @@
                        time_text(event.at) + " key=" + std::to_string(violation.key) +
                        " taker=" + name(violation.taker) + " other=" + name(violation.holder) +
                        " token=" + version_text(event.fence) + " sender=" + event.sender +
+                       (violation.is_late ? " late-delivery" : "") +
                        " cause=" + m_links.explain(event.fence, event.written_at) + "\n";
     for (const auto& line :
          m_journal.lines(violation.key, involves, [this](std::size_t it) { return name(it); }))
