--- a/tools/test.sh
+++ b/tools/test.sh
@@ -58,8 +58,11 @@
   check "nothing outside platform/ knows the platform's names" names_stay_in_platform
   check "lint" linted
   run_suite build
-  check "model of key ownership, 12 processes" build/ownership_model --seeds=60 --brief
-  check "model of key ownership, 300 processes" build/ownership_model --processes=300 --seeds=2 --brief
+  check "model of key ownership, 12 processes" build/ownership_model --seeds=30 --seconds=60 --brief
+  check "model of key ownership, claims without an answer" build/ownership_model --seeds=60 --seconds=60 --brief \
+    --only=lost_answers,late_appends,kill_coordinator,strike_claimer,freeze_coordinator
+  check "model of key ownership, 300 processes" build/ownership_model --processes=300 --first_seed=28 --seeds=2 --seconds=50 --brief \
+    --only=lost_answers,late_appends,kill_coordinator,strike_claimer,stop_coordinator,slow_store,freeze_coordinator
   check "fault soak, two seeds" build/soak --first_seed=1 --seeds=2
   check "fault soak, seeds that failed once" build/soak --seed_file=tests/soak/seeds.txt --first_port=23000
   check "smoke run of the Ice Authority" build/run_local --once --bin=build --folder=build/run-ice
