Ownership agent: a repeated claim is not resolved by an attempt that was not sent

The first append may still be executed, so the holder that goes on without the log and the claimer could act at once. Change: an append that was repeated is resolved only by reading the log. Ruled out: the first attempt's own not_sent still resolves at once.

--- a/include/eelgrassrail/ownership/agent.hpp
+++ b/include/eelgrassrail/ownership/agent.hpp
@@ -120,6 +120,7 @@
         instant sent;
         std::optional<pool_id> claimed_pool;     ///< set for claims
         std::optional<pool_id> appointment_pool; ///< set for appointments
+        bool may_be_appended{};                  ///< the outcome of an attempt is unknown
     };
 
     void reconcile(instant now);
--- a/src/ownership/agent.cpp
+++ b/src/ownership/agent.cpp
@@ -169,7 +169,7 @@
     // An appended record takes effect only when it is read back from the log.
     if (result == append_result::not_sent)
         if (const auto it = m_pending_appends.find(id);
-            it != m_pending_appends.end() && it->second.claimed_pool)
+            it != m_pending_appends.end() && it->second.claimed_pool && !it->second.may_be_appended)
             resolve(id, now);
 }
 
@@ -180,6 +180,7 @@
         if (now - pending.sent < m_timing.append_retry_interval)
             continue;
         pending.sent = now;
+        pending.may_be_appended = true;
         m_outputs.appends.push_back(pending.request);
     }
 }
--- a/tests/src/unit-agent.cpp
+++ b/tests/src/unit-agent.cpp
@@ -56,6 +56,7 @@
     CPPUNIT_TEST(it_stops_acting_before_it_hands_over);
     CPPUNIT_TEST(an_old_vm_list_is_no_evidence);
     CPPUNIT_TEST(it_relinquishes_before_it_has_read_its_appointment);
+    CPPUNIT_TEST(a_claim_that_may_be_appended_prevents_relinquishing);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -108,6 +109,31 @@
         CPPUNIT_ASSERT(third.take_outputs().messages.empty());
     }
 
+    /// Guards against two holders: the first append of a claim has no known outcome, only its
+    /// repetition was certainly not sent, and the process relinquishes before the log executes it.
+    void a_claim_that_may_be_appended_prevents_relinquishing()
+    {
+        const process_id standby{"vm-3", 3, "zone-a", "127.0.0.1:3"};
+        ownership_agent third(standby, {});
+        const std::vector<std::string> records{
+            record_text("t1", make_ticket(make_service("orders", {"zone-a"}))),
+            record_text("a", claim{pool, 0, self, {standby}, claim_evidence::unheld}),
+            record_text("b", activation{pool, 2})};
+        third.on_log_page({0, 0, records.size(), records}, start_time, start_time);
+        third.tick(start_time);
+        third.tick(start_time + millis(3'000));
+        const auto first = third.take_outputs().appends;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, first.size());
+        const auto later = start_time + millis(3'800);
+        third.tick(later);
+        const auto second = third.take_outputs().appends;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, second.size());
+        CPPUNIT_ASSERT_EQUAL(first.front().id, second.front().id);
+        third.on_append_result(first.front().id, append_result::not_sent, later);
+        third.on_message(relinquish_request{self, pool, 2, 1}, later);
+        CPPUNIT_ASSERT(third.take_outputs().messages.empty());
+    }
+
     void it_stops_acting_before_it_hands_over()
     {
         holding_agent holder;
