--- a/tests/src/session-ownership.cpp
+++ b/tests/src/session-ownership.cpp
@@ -51,13 +51,29 @@
         worker = std::make_unique<worker_standin>(context, settings);
         store.put("keyed.servers", settings.id, worker->registration(false));
         // All keys were being moved to k1 from a worker that is not registered.
+        put_record(address(90), {0, key_count - 1, {"k1", 1}, false, {"unlisted", 1}, {}});
+    }
+
+    /// Records one slice, as the version before does: without lease times.
+    void put_record(const std::string& coordinator, const key_slice& slice)
+    {
         ownership_record record;
-        record.coordinator = {address(90), "z1", 7};
+        record.coordinator = {coordinator, "z1", 7};
         record.version = recorded_version;
-        record.assign_slice("keys", {0, key_count - 1, {"k1", 1}, false, {"unlisted", 1}, {}});
+        record.assign_slice("keys", slice);
         store.put("keyed.ownership", "map", write_message(record));
     }
 
+    /// Registers a worker at an address where nobody listens.
+    void put_entry(const std::string& id, std::uint64_t born_ms)
+    {
+        store.put("keyed.servers", id,
+                  R"({"service":"keys","address":")" + address(95) +
+                      R"(","zone":"z1","version":"v1","slots":3,"state":"ready",)"
+                      R"("cold_remaining":"0ms","seq":1,"born":)" +
+                      std::to_string(born_ms) + "}");
+    }
+
     static std::string address(int offset)
     {
         constexpr int first_port = 20'800;
@@ -145,6 +161,8 @@
     CPPUNIT_TEST_SUITE(session_ownership);
     CPPUNIT_TEST(a_claim_without_an_answer_waits_for_the_coordinator_before_it);
     CPPUNIT_TEST(a_claim_that_is_not_on_record_is_not_served_to_others);
+    CPPUNIT_TEST(an_older_entry_does_not_end_an_incarnation);
+    CPPUNIT_TEST(a_restart_on_a_record_of_the_version_before_serves_at_once);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -155,7 +173,7 @@
         claim_cluster cluster;
         cluster.store.faults.lost_answer_percent = 1; // the first of each 100 appends
         cluster.start_router();
-        cluster.run(read_until_leases_may_end(cluster));
+        cluster.run(read_until_leases_have_ended(cluster));
     }
 
     /// Guards against processes that take a pending claim for the record: the claim may fail, and
@@ -168,7 +186,41 @@
         cluster.run(copy_during_claim(cluster));
     }
 
+    /// Guards against taking a living incarnation for ended: the registry knows only an earlier
+    /// one, whose address another worker has taken.
+    void an_older_entry_does_not_end_an_incarnation()
+    {
+        claim_cluster cluster;
+        cluster.put_record(claim_cluster::address(90),
+                           {0, key_count - 1, {"k1", 1}, false, {"moved", 300}, {}});
+        cluster.put_entry("moved", 100);
+        cluster.put_entry("other", 200);
+        cluster.start_router();
+        cluster.run(read_until_leases_may_end(cluster));
+    }
+
+    /// Guards against waits for workers that answer: only keys of others wait for earlier leases.
+    void a_restart_on_a_record_of_the_version_before_serves_at_once()
+    {
+        claim_cluster cluster;
+        cluster.put_record(claim_cluster::address(52), {0, key_count - 1, {"k1", 1}, true, {}, {}});
+        cluster.start_router();
+        cluster.run(read_until_served(cluster, millis(4'000)));
+    }
+
   private:
+    static asio::awaitable<void> read_until_served(claim_cluster& cluster, millis timeout)
+    {
+        const auto until = boot_clock::now() + timeout;
+        unsigned status = 0;
+        for (int n = 0; status != 200 && boot_clock::now() < until; ++n)
+        {
+            status = co_await cluster.read_status("served-" + std::to_string(n));
+            co_await cluster.delay(millis(100));
+        }
+        CPPUNIT_ASSERT_EQUAL(200U, status);
+    }
+
     /// A claim is made at least 1.3 s after the start. Then the previous coordinator may renew for
     /// 8 s, and the lease of the last renewal takes 3 s.
     static asio::awaitable<void> read_until_leases_may_end(claim_cluster& cluster)
@@ -183,6 +235,14 @@
         CPPUNIT_ASSERT(cluster.worker->journal().empty());
     }
 
+    /// The claim is on record 3 s after the start at the latest; the leases that may last then have
+    /// ended after 11.9 s.
+    static asio::awaitable<void> read_until_leases_have_ended(claim_cluster& cluster)
+    {
+        co_await read_until_leases_may_end(cluster);
+        co_await read_until_served(cluster, millis(9'000));
+    }
+
     static asio::awaitable<void> copy_during_claim(claim_cluster& cluster)
     {
         std::size_t copies = 0;
