Soak: the end of a worker that leaves is known to the check of holds

Change: the fault ends the worker through kill(); a restart inside a stand-in logs the end of its incarnation. No check is changed. Ruled out: the product; both lives are of one worker, the first had been killed.

--- a/tests/soak/drain_faults.cpp
+++ b/tests/soak/drain_faults.cpp
@@ -31,7 +31,7 @@
         log_fault("leaving worker=" + leaving.id + " ms=" + std::to_string(length.count()));
         co_await call_worker(leaving.port, "/leaving?text=1");
         co_await delay(length);
-        leaving.process->kill();
+        kill(leaving);
         co_await delay(millis(300));
         start(leaving);
     }
--- a/tests/standins/worker_standin.cpp
+++ b/tests/standins/worker_standin.cpp
@@ -109,6 +109,10 @@
 
 void worker_standin::restart(std::uint64_t start_time_ms)
 {
+    hold_event event;
+    event.kind = hold_kind::end;
+    event.at_us = now_us();
+    log_hold(std::move(event));
     m_settings.start_time_ms = start_time_ms;
     std::ranges::fill(m_keys, key_state{});
     m_leaving.clear();
