Ownership: each round of renewals has a higher token

The platform asks for a higher token for another life of a worker. No two workers held the key. Cause: renewals carry the ownership version, which does not change while no key moves; until the new entry is read the renewal goes to the old incarnation's id. Change: renew_all raises the version; 'settled' records depend on the last change of an owner instead, so no record is written for it. Ruled out: moves, whose tokens are above all earlier renewals as before (the version rises with each change).

--- a/include/eelgrassrail/router/key_coordinator.hpp
+++ b/include/eelgrassrail/router/key_coordinator.hpp
@@ -179,6 +179,7 @@
     instant m_next_copy{};
     instant m_last_move{};
     std::uint64_t m_recorded_version{}; ///< version of the last record
+    std::uint64_t m_changed_version{};  ///< version of the last change of an owner
     std::uint64_t m_push_base{};        ///< version before the first change in `m_changes`
     std::deque<std::pair<instant, slice_change>>
         m_changes; ///< recent, repeated for processes that missed a push
--- a/src/router/key_coordinator.cpp
+++ b/src/router/key_coordinator.cpp
@@ -241,6 +241,7 @@
 {
     slice_change change;
     change.version = m_state.ownership_version + 1;
+    m_changed_version = change.version;
     change.service = service;
     change.slice = slice;
     m_state.apply_slice(change);
--- a/src/router/key_moves.cpp
+++ b/src/router/key_moves.cpp
@@ -85,7 +85,7 @@
                                                  std::to_string(moves.size()));
         schedule_push();
     }
-    else if (may_grant(now) && m_recorded_version < m_state.ownership_version &&
+    else if (may_grant(now) && m_recorded_version < m_changed_version &&
              now > m_last_move + settle_interval)
         co_await append_record(make_record(m_state.maps, now), "settled");
     else if (may_grant(now) && states_old_lease_times(now))
@@ -311,6 +311,9 @@
 {
     if (!may_grant(now))
         return;
+    // Each round has a higher token: a renewal may reach an incarnation that has started under the
+    // id of the one that it is for.
+    m_state.set_ownership_version(m_state.ownership_version + 1);
     for (const auto& [service, map] : m_state.maps)
     {
         std::set<worker_incarnation> owners;
