--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -32,8 +32,7 @@
 void start_workers(deployment& world)
 {
     for (int n = 0; n < worker_count; ++n)
-        world.start_worker(
-            {worker_id(n), "desk", "zone-" + std::to_string(n % 3 + 1), false, 50});
+        world.start_worker({worker_id(n), "desk", "zone-" + std::to_string(n % 3 + 1), false, 50});
 }
 
 /// When the store acknowledged the removal of a worker.
@@ -84,10 +83,10 @@
             here += line.at_us > item.ack_us + late_us ? 1 : 0;
         }
         late += here;
-        world.events().add((here > 0 ? "BROKEN " : "kept ") + item.worker + " got " +
-                           std::to_string(here) +
-                           " requests later than 5 s after its removal was acknowledged, the last " +
-                           std::to_string((last_us - item.ack_us) / us_in_ms) + " ms after it");
+        world.events().add(
+            (here > 0 ? "BROKEN " : "kept ") + item.worker + " got " + std::to_string(here) +
+            " requests later than 5 s after its removal was acknowledged, the last " +
+            std::to_string((last_us - item.ack_us) / us_in_ms) + " ms after it");
     }
     return late;
 }
