--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -32,7 +32,7 @@
 void start_workers(deployment& world)
 {
     for (int n = 0; n < worker_count; ++n)
-        world.start_worker({worker_id(n), "desk", "zone-" + std::to_string(n % 3 + 1), false, 50});
+        world.start_worker({worker_id(n), "desk", "zone-" + std::to_string(n % 3 + 1), false, 300});
 }
 
 /// When the store acknowledged the removal of a worker.
@@ -103,7 +103,7 @@
 
 asio::awaitable<verdict> play(deployment& world)
 {
-    constexpr std::size_t callers_per_router = 2;
+    constexpr std::size_t callers_per_router = 3;
     constexpr millis settle_time{8'000};
     co_await world.start(3, routes());
     start_workers(world);
@@ -118,8 +118,16 @@
         removals.push_back(co_await remove_worker(world, round));
     }
     co_await world.pause(settle_time);
+    // The workers leave; whatever they still run is lost.
+    for (const auto& item : removals)
+        world.kill_worker(item.worker);
+    world.events().add("removed workers have ended");
+    co_await world.pause(millis(1'000));
     co_await callers.stop();
     world.events().add("coordinator is router " + std::to_string(co_await world.coordinator()));
+    constexpr unsigned server_lost = 502;
+    world.events().add("filings whose run was cut off (502): " +
+                       std::to_string(world.answers(server_lost)));
     world.events().add("served " + std::to_string(callers.served()) + " of " +
                        std::to_string(world.requests()));
     if (callers.served() == 0)
--- a/review/kit/deployment.cpp
+++ b/review/kit/deployment.cpp
@@ -336,6 +336,7 @@
     m_unanswered_at_timeout += took > item.route_timeout ? 1 : 0;
     m_overdue += took > item.route_timeout + overdue_time ? 1 : 0;
     const auto status = exchange.result == exchange_result::complete ? exchange.reply.status : 0;
+    ++m_answers[status];
     m_record.add("answered " + attempt + " status=" + std::to_string(status) +
                  " ms=" + std::to_string(std::chrono::duration_cast<millis>(took).count()));
     co_return status;
--- a/review/kit/deployment.hpp
+++ b/review/kit/deployment.hpp
@@ -109,6 +109,13 @@
     [[nodiscard]] const std::string& scratch() const { return m_scratch; }
     [[nodiscard]] std::uint64_t requests() const { return m_requests; }
 
+    /// @brief Number of answers with a status.
+    [[nodiscard]] std::uint64_t answers(unsigned status) const
+    {
+        const auto it = m_answers.find(status);
+        return it == m_answers.end() ? 0 : it->second;
+    }
+
     /// Requests without an answer at the timeout of their route.
     [[nodiscard]] std::uint64_t unanswered_at_timeout() const { return m_unanswered_at_timeout; }
     /// Those without an answer half a second later.
@@ -138,6 +145,7 @@
     std::vector<eelgrassrail::harness::child_process> m_routers;
     std::map<std::string, worker> m_workers;
     std::size_t m_addresses{};
+    std::map<unsigned, std::uint64_t> m_answers; ///< by status; 0: no answer
     std::uint64_t m_requests{};
     std::uint64_t m_unanswered_at_timeout{};
     std::uint64_t m_overdue{};
