--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,4 +1,5 @@
-/// After a rolling restart of the routers, a request that crashes its workers reaches them again.
+/// After a short cut between the coordinator and the store, removals of workers take effect late
+/// on all routers.
 #include "../kit/load.hpp"
 #include "../kit/run_case.hpp"
 #include "../kit/worker_journal.hpp"
@@ -7,6 +8,8 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <stdexcept>
+#include <vector>
 
 namespace
 {
@@ -15,159 +18,139 @@
 using namespace review;
 namespace asio = boost::asio;
 
-constexpr int worker_count = 6;
-const std::string poison = "-crash";
+constexpr std::int64_t drain_us = 2'000'000;
+constexpr int rounds = 4;
+constexpr int removed_per_round = 3;
+constexpr int worker_count = rounds * removed_per_round + 6;
 
 std::string routes()
 {
-    return desired_state({{"read", "safe", "desk", "2000ms"}, {"file", "unsafe", "desk", "2000ms"}},
-                         {}, {"desk"});
+    return desired_state({{"book", "unsafe", "desk", "2000ms"}}, {}, {"desk"});
 }
 
-/// Workers that crash when they begin to run the request. Each start has a new id.
-class crashing_workers
+std::string worker_id(int n)
 {
-  public:
-    explicit crashing_workers(deployment& world)
-        : m_world(world)
-    {
-    }
-
-    void start()
-    {
-        for (int n = 0; n < worker_count; ++n)
-            asio::co_spawn(m_world.context(), run(n), asio::detached);
-    }
+    return "i-desk-" + std::to_string(n);
+}
 
-    [[nodiscard]] std::size_t crashes() const { return m_crashes.size(); }
+void start_workers(deployment& world)
+{
+    for (int n = 0; n < worker_count; ++n)
+        world.start_worker({worker_id(n), "desk", "zone-" + std::to_string(n % 3 + 1), false, 50});
+}
 
-    /// @brief Arrivals of the request later than `contact` after its third crash.
-    [[nodiscard]] std::ptrdiff_t late_arrivals() const
-    {
-        constexpr std::size_t allowed_crashes = 3;
-        constexpr std::int64_t contact_us = 3'000'000;
-        if (m_crashes.size() < allowed_crashes)
-            return 0;
-        const auto from_us = m_crashes[allowed_crashes - 1] + contact_us;
-        return std::ranges::count_if(m_arrivals,
-                                     [from_us](std::int64_t at_us) { return at_us > from_us; });
-    }
+/// A cut of one second. It begins with one of the reads that the router sends twice a second.
+asio::awaitable<void> cut_store(deployment& world, std::size_t router)
+{
+    constexpr millis cut_time{1'050};
+    constexpr millis after_routes{350};
+    constexpr millis poll_interval{2};
+    auto& link = world.link(router);
+    link.cut_at_read(after_routes);
+    for (int n = 0; n < 5'000 && !link.is_cut(); ++n)
+        co_await world.pause(poll_interval);
+    world.events().add("cut between router " + std::to_string(router) + " and the store begins");
+    co_await world.pause(cut_time);
+    link.heal();
+    world.events().add("cut ends");
+}
 
-  private:
-    asio::awaitable<void> run(int number)
-    {
-        constexpr millis back_after{2'700};
-        for (int life = 1;; ++life)
-        {
-            const auto id = "i-desk-" + std::to_string(number) + "-" + std::to_string(life);
-            start_worker(id, number);
-            co_await wait_for_crash(id);
-            m_crashes.push_back(now_us());
-            m_world.events().add("crashed worker=" + id);
-            co_await m_world.pause(back_after);
-            // The store removes an entry after three intervals of silence.
-            co_await m_world.call_store("/lapse?ms=120000&key=" + id);
-        }
-    }
+/// When the store acknowledged the removal of a worker, and the router that was cut before.
+struct removal
+{
+    std::string worker;
+    std::int64_t ack_us{};
+    std::size_t cut_router{};
+};
 
-    void start_worker(const std::string& id, int number)
+/// Scale-in: workers are removed one after the other. They do not report `draining`, and serve on.
+asio::awaitable<void> remove_workers(deployment& world, int round, std::size_t cut_router,
+                                     std::vector<removal>& removals)
+{
+    constexpr millis interval{100};
+    constexpr unsigned status_ok = 200;
+    for (int n = 0; n < removed_per_round; ++n)
     {
-        m_world.start_worker({id, "desk", "zone-" + std::to_string(number % 3 + 1), false, 100});
+        removal item;
+        item.worker = worker_id(round * removed_per_round + n);
+        if (co_await world.call_store("/lapse?ms=120000&key=" + item.worker) != status_ok)
+            throw std::runtime_error("the store does not answer");
+        item.ack_us = now_us();
+        item.cut_router = cut_router;
+        removals.push_back(item);
+        world.events().add("removal acknowledged id=" + item.worker);
+        co_await world.pause(interval);
     }
+}
 
-    asio::awaitable<void> wait_for_crash(std::string id)
+/// @return requests that reached a removed worker too late, by routers that were not cut
+int count_late(deployment& world, const std::vector<removal>& removals)
+{
+    constexpr std::int64_t us_in_ms = 1'000;
+    int late = 0;
+    for (const auto& item : removals)
     {
-        constexpr millis interval{5};
         std::streamoff position = 0;
-        for (bool has_begun = false; !has_begun;)
+        std::int64_t last_us = item.ack_us;
+        for (const auto& line : read_journal(world.worker_log(item.worker), position))
         {
-            co_await m_world.pause(interval);
-            for (const auto& line : read_journal(m_world.worker_log(id), position))
-            {
-                if (!line.attempt.ends_with(poison))
-                    continue;
-                m_world.events().add(line.kind + " " + line.attempt + " worker=" + id);
-                if (line.kind == "arrival")
-                    m_arrivals.push_back(line.at_us);
-                has_begun = has_begun || line.kind == "begin";
-            }
+            if (line.kind != "arrival")
+                continue;
+            last_us = std::max(last_us, line.at_us);
+            if (line.at_us <= item.ack_us + drain_us || line.router() == item.cut_router)
+                continue;
+            ++late;
+            world.events().add("BROKEN " + line.attempt + " reached " + item.worker + " " +
+                               std::to_string((line.at_us - item.ack_us) / us_in_ms) +
+                               " ms after its removal was acknowledged");
         }
-        m_world.kill_worker(id);
+        world.events().add("last request at " + item.worker + " " +
+                           std::to_string((last_us - item.ack_us) / us_in_ms) +
+                           " ms after its removal was acknowledged");
     }
-
-    deployment& m_world;
-    std::vector<std::int64_t> m_crashes;
-    std::vector<std::int64_t> m_arrivals;
-};
-
-/// The same request, from time to time, at one router after the other.
-asio::awaitable<void> repeat_request(deployment& world, std::vector<std::size_t> routers,
-                                     int rounds)
-{
-    constexpr millis interval{1'200};
-    for (int n = 0; n < rounds; ++n)
-        for (const auto router : routers)
-        {
-            question item;
-            item.router = router;
-            item.method = "PUT";
-            item.target = "/file/same";
-            item.body = "the same body";
-            item.tag = poison;
-            co_await world.ask(std::move(item));
-            co_await world.pause(interval);
-        }
+    return late;
 }
 
 question next_question(std::size_t router)
 {
     question item;
     item.router = router;
-    item.target = "/read/x";
+    item.method = "POST";
+    item.target = "/book/x";
+    item.body = "order";
     return item;
 }
 
-std::vector<std::size_t> all_routers(const deployment& world)
-{
-    std::vector<std::size_t> all;
-    for (std::size_t n = 0; n < world.routers(); ++n)
-        all.push_back(n);
-    return all;
-}
-
-std::vector<std::size_t> one_router(std::size_t router)
-{
-    return {router};
-}
-
 asio::awaitable<verdict> play(deployment& world)
 {
-    constexpr millis contact{3'500};
-    constexpr millis step{6'000};
+    constexpr std::size_t callers_per_router = 8;
+    constexpr millis settle_time{4'500};
+    constexpr millis after_cut{300};
     co_await world.start(3, routes());
-    crashing_workers workers(world);
-    workers.start();
+    start_workers(world);
     if (!co_await world.wait_until_ready())
         co_return verdict::not_run;
     load callers(world.context(), world, next_question);
-    callers.start(1, millis(150));
-    co_await world.pause(contact);
-    co_await repeat_request(world, all_routers(world), 3);
-    for (std::size_t n = 0; n < world.routers(); ++n)
+    callers.start(callers_per_router, millis(20));
+    std::vector<removal> removals;
+    for (int round = 0; round < rounds; ++round)
     {
+        co_await world.pause(settle_time);
+        const auto coordinator = co_await world.coordinator();
+        if (coordinator == world.routers())
+            co_return verdict::not_run;
         if (has_trouble())
-            co_await world.stop_and_restart_router(n);
-        co_await world.pause(step);
-        co_await repeat_request(world, one_router(n), 3);
-        co_await world.pause(step);
+            co_await cut_store(world, coordinator);
+        co_await world.pause(after_cut);
+        co_await remove_workers(world, round, coordinator, removals);
     }
+    co_await world.pause(settle_time);
     co_await callers.stop();
-    constexpr std::ptrdiff_t allowed = 3;
-    world.events().add("crashes " + std::to_string(workers.crashes()) +
-                       ", late arrivals of the request " + std::to_string(workers.late_arrivals()));
-    if (workers.crashes() == 0 || callers.served() == 0)
+    world.events().add("served " + std::to_string(callers.served()) + " of " +
+                       std::to_string(world.requests()));
+    if (callers.served() == 0)
         co_return verdict::not_run;
-    co_return workers.late_arrivals() > allowed ? verdict::broken : verdict::held;
+    co_return count_late(world, removals) > 0 ? verdict::broken : verdict::held;
 }
 
 } // namespace
