HTTP: received bytes that are not parsed yet are limited

Cause: a worker answers with a chunk header that never ends. It is part neither of the head nor of the body, whose sizes are limited; the buffer had no maximum, and one read goes on as long as the chunk header does, so that the checks of size and time between two reads never ran.

Change: at most 64 KB of a connection are buffered, in the client (calls, grants, releases, the store, processes) and in the listener (callers, processes, readiness, metrics).

Ruled out: heads, bodies and chunks without end (green before), datagrams and frames (limited).

Tests, red before: unit_client::a_chunk_header_without_end and a_trailer_without_end (std::bad_alloc under ulimit -v 6000000), unit_listener:: a_chunk_header_without_end_is_cut_off, chunks_that_are_nearly_all_header_time_out and input_without_end_after_a_refusal_is_cut_off.

--- a/include/eelgrassrail/http/client.hpp
+++ b/include/eelgrassrail/http/client.hpp
@@ -93,6 +93,10 @@
     /// default is no limit.
     void set_keep_time(millis keep) noexcept;
 
+    /// @brief Sets the maximum size of a response body; the default is 8 MB. A larger one makes the
+    /// response invalid.
+    void set_max_body(std::size_t bytes) noexcept;
+
     /// @brief Sets the memory budget for large bodies, shared with other clients. Without one, only
     /// the size of each body is limited.
     void set_budget(std::shared_ptr<receive_budget> budget) noexcept;
--- a/include/eelgrassrail/http/listener.hpp
+++ b/include/eelgrassrail/http/listener.hpp
@@ -24,6 +24,14 @@
     millis idle_timeout{60'000};   ///< between two requests of a connection
 };
 
+/// @brief Limits of a listener whose requests have no body.
+[[nodiscard]] constexpr http_limits limits_without_body()
+{
+    http_limits limits;
+    limits.body_bytes = 0;
+    return limits;
+}
+
 /// Answers one request. The watch reports whether the caller has disconnected.
 using http_handler =
     std::function<boost::asio::awaitable<http_reply>(http_call, std::shared_ptr<caller_watch>)>;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -24,7 +24,14 @@
 namespace
 {
 
-constexpr std::size_t max_response_body_bytes = 8UL * 1024UL * 1024;
+constexpr std::size_t default_max_body_bytes = 8UL * 1024UL * 1024;
+
+/// Maximum received bytes of a connection that are not parsed yet. Heads are limited to 8 KB, but
+/// chunk headers and trailers have no limit of their own.
+constexpr std::size_t max_unparsed_bytes = 64UL * 1024;
+
+/// An idle connection with a larger buffer releases it.
+constexpr std::size_t max_idle_buffer_bytes = 4UL * 1024;
 constexpr millis connect_timeout{300};
 
 /// Size up to which a body needs no budget.
@@ -79,7 +86,7 @@
 
     beast::tcp_stream stream;
     const std::uint64_t number; ///< unique in the process
-    beast::flat_buffer buf;
+    beast::flat_buffer buf{max_unparsed_bytes};
     instant idle_since{};
     instant keep_until{}; ///< the peer may close the connection at any time after this
 };
@@ -180,6 +187,7 @@
     std::uint64_t opened{};
     millis idle_timeout{millis::max()};
     std::shared_ptr<receive_budget> budget; ///< empty: no budget
+    std::size_t max_body_bytes{default_max_body_bytes};
     std::vector<std::unique_ptr<connection>> idle;
     std::map<std::uint64_t, beast::tcp_stream*> running; ///< by label of the exchange
 
@@ -281,7 +289,7 @@
     {
         beast::error_code ec;
         http::response_parser<http::string_body> parser;
-        parser.body_limit(max_response_body_bytes);
+        parser.body_limit(max_body_bytes);
         parser.skip(expected.is_head);
         budget_reservation memory(budget.get());
         co_await http::async_read_header(used.stream, used.buf, parser,
@@ -383,6 +391,8 @@
     {
         used->stream.expires_never();
         used->idle_since = boot_clock::now();
+        if (used->buf.capacity() > max_idle_buffer_bytes)
+            used->buf.shrink_to_fit();
         const auto keep = keep_alive_timeout(result.reply).value_or(self->idle_timeout);
         used->keep_until = keep == millis::max() ? instant::max() : used->idle_since + keep;
         self->idle.push_back(std::move(used));
@@ -402,6 +412,11 @@
     m_shared->idle_timeout = keep;
 }
 
+void http_client::set_max_body(std::size_t bytes) noexcept
+{
+    m_shared->max_body_bytes = bytes;
+}
+
 void http_client::set_budget(std::shared_ptr<receive_budget> budget) noexcept
 {
     m_shared->budget = std::move(budget);
--- a/src/http/listener.cpp
+++ b/src/http/listener.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <array>
 #include <exception>
 #include <optional>
@@ -20,6 +21,15 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
+namespace
+{
+
+/// Maximum received bytes of a connection that are not parsed yet, unless the limit of heads is
+/// higher. Chunk headers and trailers have no limit of their own.
+constexpr std::size_t max_unparsed_bytes = 64UL * 1024;
+
+} // namespace
+
 struct http_listener::shared : std::enable_shared_from_this<shared>
 {
     shared(const asio::any_io_executor& executor, const asio::ip::tcp::endpoint& at,
@@ -148,7 +158,9 @@
         co_return;
     std::array<char, chunk> sink{};
     stream.expires_after(drain_timeout);
-    while (!ec.failed())
+    // The stream's timer does not fire while every read completes immediately.
+    const auto until = boot_clock::now() + drain_timeout;
+    while (!ec.failed() && boot_clock::now() < until)
         co_await stream.async_read_some(asio::buffer(sink),
                                         asio::redirect_error(asio::use_awaitable, ec));
 }
@@ -215,8 +227,17 @@
     http::request_parser<http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
     parser.body_limit(limits.body_bytes);
+    buf.max_size(std::max(max_unparsed_bytes, 2 * limits.header_bytes));
     stream.expires_after(limits.header_timeout);
-    co_await http::async_read(stream, buf, parser, asio::redirect_error(asio::use_awaitable, ec));
+    // The stream's timer does not fire while every read completes immediately.
+    const auto until = boot_clock::now() + limits.header_timeout;
+    while (!ec.failed() && !parser.is_done())
+    {
+        co_await http::async_read_some(stream, buf, parser,
+                                       asio::redirect_error(asio::use_awaitable, ec));
+        if (!ec.failed() && !parser.is_done() && boot_clock::now() >= until)
+            ec = beast::error::timeout;
+    }
     if (ec.failed())
         co_return co_await refuse(stream, ec);
     stream.expires_never();
--- a/src/router/peer_link.cpp
+++ b/src/router/peer_link.cpp
@@ -85,7 +85,7 @@
     , m_state(state)
     , m_socket(executor, parse_udp_address(state.settings.peer_address))
     , m_listener(
-          executor, parse_tcp_address(state.settings.peer_address), {},
+          executor, parse_tcp_address(state.settings.peer_address), limits_without_body(),
           [this](http_call call, const auto&) { return serve(std::move(call)); },
           reply_to_malformed)
 {
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -93,14 +93,16 @@
           { return m_forwarder.serve(std::move(call), std::move(watch)); },
           malformed)
     , m_readiness(
-          context.get_executor(), parse_tcp_address(m_state.settings.ready_address), {},
+          context.get_executor(), parse_tcp_address(m_state.settings.ready_address),
+          limits_without_body(),
           [this](http_call, const auto&) -> asio::awaitable<http_reply> { co_return readiness(); },
           malformed)
 {
     if (m_state.settings.metrics_address.empty())
         return;
     m_metrics = std::make_unique<http_listener>(
-        context.get_executor(), parse_tcp_address(m_state.settings.metrics_address), http_limits{},
+        context.get_executor(), parse_tcp_address(m_state.settings.metrics_address),
+        limits_without_body(),
         [this](http_call, const auto&) -> asio::awaitable<http_reply>
         {
             http_reply reply;
--- a/src/router/worker_link.cpp
+++ b/src/router/worker_link.cpp
@@ -18,6 +18,9 @@
 /// Concurrent grants and releases to one worker. A release takes until running requests have ended.
 constexpr std::size_t control_connections = 8;
 
+/// Maximum size of an answer to a grant or release; a valid one is empty.
+constexpr std::size_t max_control_answer_bytes = 16UL * 1024;
+
 /// Idle time after which a connection is closed if the worker announces no keep-alive time.
 constexpr millis default_keep_time{4'000};
 
@@ -35,6 +38,7 @@
 {
     requests.set_keep_time(default_keep_time);
     control.set_keep_time(default_keep_time);
+    control.set_max_body(max_control_answer_bytes);
 }
 
 void worker_link::on_end(bool is_success, bool is_answer, bool is_timed, millis took, instant now)
--- a/tests/src/unit-client.cpp
+++ b/tests/src/unit-client.cpp
@@ -65,8 +65,8 @@
         co_await asio::async_write(socket, asio::buffer(prefix),
                                    asio::redirect_error(asio::use_awaitable, ec));
         while (!ec.failed())
-            co_await asio::async_write(socket, asio::buffer(chunk),
-                                       asio::redirect_error(asio::use_awaitable, ec));
+            sent += co_await asio::async_write(socket, asio::buffer(chunk),
+                                               asio::redirect_error(asio::use_awaitable, ec));
         ++closed;
     }
 
@@ -75,6 +75,7 @@
     std::string chunk;
     tcp::acceptor acceptor;
     std::size_t closed{}; ///< connections that the client has closed
+    std::size_t sent{};   ///< bytes that the sockets have taken
 };
 
 /// Results of concurrent exchanges.
@@ -197,6 +198,10 @@
     CPPUNIT_TEST(a_body_without_end);
     CPPUNIT_TEST(a_body_in_chunks_without_end);
     CPPUNIT_TEST(a_slow_body_without_end);
+    CPPUNIT_TEST(a_chunk_header_without_end);
+    CPPUNIT_TEST(a_trailer_without_end);
+    CPPUNIT_TEST(chunks_that_are_nearly_all_header);
+    CPPUNIT_TEST(a_body_above_the_limit_of_the_client);
     CPPUNIT_TEST(interim_replies_without_end);
     CPPUNIT_TEST(bytes_that_are_no_reply);
     CPPUNIT_TEST(fifty_bodies_without_end);
@@ -218,6 +223,18 @@
         CPPUNIT_ASSERT(seen.exchanges.front().reply.body.empty());
     }
 
+    /// As above; besides, the client ends the exchange long before it has read what the smallest VM
+    /// has memory for.
+    static void check_bytes_taken(const std::string& prefix, const std::string& chunk)
+    {
+        check_single(prefix, chunk);
+        constexpr std::size_t max_bytes = 16 * mb; // most of it in the buffers of the two sockets
+        endless_server server(prefix, chunk);
+        const auto seen = run_exchanges(server, 1, exchange_timeout, 64 * mb);
+        CPPUNIT_ASSERT(seen.exchanges.front().result == exchange_result::invalid);
+        CPPUNIT_ASSERT(server.sent <= max_bytes);
+    }
+
   public:
     /// Each request gets its own answer, at whatever time a duplicate of the previous one arrives.
     void a_second_copy_is_nobodys_answer()
@@ -339,6 +356,59 @@
 
     void a_slow_body_without_end() { check_single("HTTP/1.1 200 OK\r\n\r\n", "x"); }
 
+    /// Guards against a client that keeps a chunk header, which has no length, in memory until the
+    /// timeout: it is neither part of the head nor of the body, whose sizes are limited.
+    void a_chunk_header_without_end()
+    {
+        check_bytes_taken("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;x=", filler);
+        check_bytes_taken("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0", "0");
+    }
+
+    /// As above, for the fields after the last chunk.
+    void a_trailer_without_end()
+    {
+        const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
+        check_bytes_taken(head + "Filler: ", filler);
+        check_bytes_taken(head, "Filler: " + std::string(1'000, 'x') + "\r\n");
+    }
+
+    /// Guards against an answer that takes longer than its timeout, since each read makes progress.
+    void chunks_that_are_nearly_all_header()
+    {
+        check_single("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                     "1;x=" + filler + "\r\nx\r\n");
+    }
+
+    /// Guards against answers to grants and releases that use up the memory: there is no budget for
+    /// them, and each of many workers may send one.
+    void a_body_above_the_limit_of_the_client()
+    {
+        constexpr std::size_t limit = 1'000;
+        for (const std::size_t size : {limit, limit + 1})
+        {
+            endless_server server("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(size) +
+                                      "\r\n\r\n",
+                                  std::string(size, 'x'));
+            http_client client(server.context.get_executor(), server.address(), 1);
+            client.set_max_body(limit);
+            http_exchange seen;
+            asio::co_spawn(
+                server.context,
+                [&]() -> asio::awaitable<void>
+                {
+                    http_call call;
+                    call.method = "GET";
+                    call.target = "/";
+                    seen = co_await client.exchange(std::move(call),
+                                                    boot_clock::now() + exchange_timeout);
+                    server.context.stop();
+                },
+                asio::detached);
+            server.context.run_for(std::chrono::seconds(60));
+            CPPUNIT_ASSERT((seen.result == exchange_result::complete) == (size == limit));
+        }
+    }
+
     void interim_replies_without_end()
     {
         check_single("", "HTTP/1.1 100 Continue\r\n\r\n");
--- a/tests/src/unit-listener.cpp
+++ b/tests/src/unit-listener.cpp
@@ -1,9 +1,13 @@
 /// Detection of caller disconnects by the listener, on loopback.
 #include <eelgrassrail/http/listener.hpp>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -88,6 +92,79 @@
     asio::ip::tcp::socket caller;
 };
 
+/// A caller that sends a prefix once, then a chunk repeatedly until its connection is closed.
+struct endless_caller
+{
+    static constexpr unsigned short port = 20'192;
+    static constexpr millis request_timeout{500};
+
+    endless_caller()
+        : listener(
+              context.get_executor(), {asio::ip::make_address("127.0.0.1"), port}, make_limits(),
+              [](http_call, const auto&) -> asio::awaitable<http_reply> { co_return http_reply{}; },
+              [](bool, bool) { return http_reply{}; })
+        , caller(context)
+    {
+        listener.start();
+        caller.connect({asio::ip::make_address("127.0.0.1"), port});
+    }
+
+    static http_limits make_limits()
+    {
+        http_limits limits;
+        limits.header_timeout = request_timeout;
+        return limits;
+    }
+
+    /// @return time until the connection was closed
+    boot_clock::duration send(std::string prefix, std::string chunk)
+    {
+        const auto start = boot_clock::now();
+        auto end = instant::max();
+        asio::co_spawn(
+            context,
+            [&]() -> asio::awaitable<void>
+            {
+                boost::system::error_code ec;
+                co_await asio::async_write(caller, asio::buffer(prefix),
+                                           asio::redirect_error(asio::use_awaitable, ec));
+                while (!ec.failed())
+                    co_await asio::async_write(caller, asio::buffer(chunk),
+                                               asio::redirect_error(asio::use_awaitable, ec));
+                end = boot_clock::now();
+                context.stop();
+            },
+            asio::detached);
+        asio::co_spawn(
+            context,
+            [&]() -> asio::awaitable<void>
+            {
+                constexpr std::size_t max_bytes = 100;
+                std::string buf(max_bytes, ' ');
+                boost::system::error_code ec;
+                const auto n = co_await caller.async_read_some(
+                    asio::buffer(buf), asio::redirect_error(asio::use_awaitable, ec));
+                received = buf.substr(0, n);
+            },
+            asio::detached);
+        constexpr std::chrono::seconds longest{10};
+        context.run_for(longest);
+        return end - start;
+    }
+
+    asio::io_context context;
+    http_listener listener;
+    asio::ip::tcp::socket caller;
+    std::string received; ///< first bytes
+};
+
+const std::string chunked_head = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+const std::string filler(16UL * 1024, 'x');
+
+/// Beyond the timeout of a request: the rest is read for 500 ms after a refusal; and a busy
+/// machine.
+constexpr millis tolerance{1'500};
+
 } // namespace
 
 class unit_listener : public CppUnit::TestFixture
@@ -99,6 +176,9 @@
     CPPUNIT_TEST(bytes_of_a_next_request_are_no_close);
     CPPUNIT_TEST(a_request_that_arrived_before_the_stop_is_answered);
     CPPUNIT_TEST(a_request_that_crosses_the_close_is_not_read);
+    CPPUNIT_TEST(a_chunk_header_without_end_is_cut_off);
+    CPPUNIT_TEST(chunks_that_are_nearly_all_header_time_out);
+    CPPUNIT_TEST(input_without_end_after_a_refusal_is_cut_off);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -161,5 +241,30 @@
         asio::write(it.caller, asio::buffer(get_request), ec);
         CPPUNIT_ASSERT(ec.failed());
     }
+
+    /// Guards against a chunk header, which has no length, that is kept in memory without limit.
+    void a_chunk_header_without_end_is_cut_off()
+    {
+        endless_caller it;
+        CPPUNIT_ASSERT(it.send(chunked_head + "5;x=", filler) < tolerance);
+        // It was refused because of its size, not dropped at its timeout.
+        CPPUNIT_ASSERT(it.received.starts_with("HTTP/1.1 200"));
+    }
+
+    /// Guards against a request without end whose timer never fires, since each read makes
+    /// progress.
+    void chunks_that_are_nearly_all_header_time_out()
+    {
+        endless_caller it;
+        CPPUNIT_ASSERT(it.send(chunked_head, "1;x=" + filler + "\r\nx\r\n") <
+                       endless_caller::request_timeout + tolerance);
+    }
+
+    /// As above, for what follows a request that was refused.
+    void input_without_end_after_a_refusal_is_cut_off()
+    {
+        endless_caller it;
+        CPPUNIT_ASSERT(it.send("no request\r\n\r\n", filler) < tolerance);
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(unit_listener);
