Registry: views of the workers keep changes and their end together

The store had deleted the history of the workers' stream after the removal.

Cause: the coordinator learned of the removal from a listing and pushed it with the offset of the worker's last change, so that others ignored it. A copy did not help, since it counts the worker as contained. The same cause, offsets and ends of views that do not fit together, on related paths: an older copy listed removed workers again; the end of a view was the highest offset of any change (records between the pages of a listing were skipped, and records that can not be read stopped reading); it was moved past deferred removals; workers known only from a process's own reads stayed; pushes were taken to continue a copy without workers, or an own term.

Change: a removal from a listing has the highest offset that it can have, and wins over an entry with the same one; older listings add nothing that was removed since; the end moves only when all before it was applied (worker_feed, pure); what comes from reads of other processes is confirmed by a copy of the coordinator's registry. No message has changed.

Ruled out: pushes lost on their way (the offset is ignored in all of them).

--- a/include/eelgrassrail/registry/worker_registry.hpp
+++ b/include/eelgrassrail/registry/worker_registry.hpp
@@ -4,8 +4,10 @@
 #include <eelgrassrail/registry/leaving_workers.hpp>
 #include <eelgrassrail/registry/worker_change.hpp>
 
+#include <algorithm>
 #include <functional>
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -37,7 +39,8 @@
 };
 
 /// Workers by id. Changes may arrive in any order and repeatedly; for each id the change with
-/// the highest offset counts. Removed workers are retained, since they may still hold keys.
+/// the highest offset counts, and of two with the same one the removal. Removed workers are
+/// retained for a time, since they may still hold keys.
 class worker_registry
 {
   public:
@@ -45,10 +48,26 @@
     /// @return whether anything but `cold_ms` has changed
     bool apply(const worker_change& change, instant now);
 
-    /// @brief Applies a complete listing: known workers that it does not contain are marked as
-    /// removed.
+    /// @brief Applies a complete listing, such as a copy of another process's registry: known
+    /// workers that it does not contain are marked as removed. If it is older than this registry,
+    /// it adds no worker that was removed since, and removes none.
     /// @param end offset before which the listing is complete
-    void replace(const std::vector<worker_change>& listing, std::uint64_t end, instant now);
+    /// @return whether anything but `cold_ms` has changed
+    bool replace(std::span<const worker_change> listing, std::uint64_t end, instant now);
+
+    /// @brief Whether a change from an older view than this one is of a worker that was removed
+    /// since.
+    /// @param end offset before which this view is complete
+    [[nodiscard]] bool is_outdated(const worker_change& change, std::uint64_t end) const noexcept;
+
+    /// @brief The removals that follow from a complete listing. Their offset is the highest that
+    /// they can have, `end - 1`: the record of a removal may have been deleted, and a lower offset
+    /// would not be applied by a process that knows a later change of the worker.
+    [[nodiscard]] std::vector<worker_change> missing_from(std::span<const worker_change> listing,
+                                                          std::uint64_t end) const;
+
+    /// @brief Records that all changes before an offset were applied.
+    void advance(std::uint64_t end) noexcept { m_end = std::max(m_end, end); }
 
     /// @brief Finds a worker by id; `nullptr` if it is not known.
     [[nodiscard]] const known_worker* find(std::string_view id) const noexcept;
@@ -83,15 +102,22 @@
     /// @brief Number of applied changes other than of `cold_ms`.
     [[nodiscard]] std::uint64_t revision() const noexcept { return m_revision; }
 
-    /// @brief Highest applied offset plus one; 0 if there was none.
+    /// @brief Offset before which the registry is complete.
     [[nodiscard]] std::uint64_t end_offset() const noexcept { return m_end; }
 
+    /// @brief Offset after the newest change that it contains, or `end_offset` if that is higher.
+    [[nodiscard]] std::uint64_t newest_end() const noexcept
+    {
+        return std::max(m_end, m_newest_end);
+    }
+
   private:
     void update_leaving(const std::string& id);
 
     std::map<std::string, known_worker, std::less<>> m_workers;
     leaving_workers m_leaving;
-    std::uint64_t m_end{};
+    std::uint64_t m_end{}; ///< invariant: never decreases
+    std::uint64_t m_newest_end{};
     std::uint64_t m_revision{};
 };
 
--- a/include/eelgrassrail/router/router_message.hpp
+++ b/include/eelgrassrail/router/router_message.hpp
@@ -116,7 +116,9 @@
     std::uint64_t routes_version{};
     std::string routes_text;            ///< as the platform's store holds it
     std::vector<worker_change> workers; ///< all known workers, including removed ones
-    coordinator_identity revision_of;   ///< process whose registry `workers_revision` refers to
+    /// Process whose registry `workers_revision` refers to; no address: `workers` is partly of
+    /// reads of other processes.
+    coordinator_identity revision_of;
     std::uint64_t workers_revision{};
     std::uint64_t workers_end{};
     std::uint32_t age_ms{};
--- a/include/eelgrassrail/router/router_state.hpp
+++ b/include/eelgrassrail/router/router_state.hpp
@@ -4,7 +4,7 @@
 #include <eelgrassrail/grants/key_map.hpp>
 #include <eelgrassrail/limits/limit_table.hpp>
 #include <eelgrassrail/observe/metrics.hpp>
-#include <eelgrassrail/registry/worker_registry.hpp>
+#include <eelgrassrail/registry/worker_feed.hpp>
 #include <eelgrassrail/router/change_signal.hpp>
 #include <eelgrassrail/router/platform_calls.hpp>
 #include <eelgrassrail/router/router_message.hpp>
@@ -52,6 +52,9 @@
     /// @return false if changes are missing and a full copy is needed
     bool apply_push(const coordinator_push& push, instant now);
 
+    /// @brief Records that this process has read the workers' stream up to `workers.end_offset()`.
+    void on_workers_read();
+
     /// @brief Merges a full copy of another process's state; newer versions win.
     void merge_copy(const state_copy& copy, instant now);
 
@@ -100,6 +103,7 @@
     std::shared_ptr<const route_table> routes; ///< null: none known; versions only increase
     std::string routes_text;                   ///< of `routes`, as the store holds it
     worker_registry workers;
+    worker_feed feed{workers};  ///< of this process's own reads of the workers' stream
     bool workers_unknown{true}; ///< no read of the workers' stream or copy yet
     service_maps maps;          ///< owners of the keys
     /// Of `maps`; epoch in the upper bits. Invariant: the epoch is on record, with `coordinator`;
@@ -112,10 +116,15 @@
     instant last_push{};                   ///< when the last push of `coordinator` arrived
     instant store_lost_since{};  ///< since when `coordinator` can not reach the store; none: it can
     instant store_answered_at{}; ///< when the store last answered this process
-    instant store_unreachable_since{};   ///< since when it has not answered; none: it answers
-    std::uint64_t push_revision{};       ///< last applied registry revision of `push_sender`
-    coordinator_identity push_sender;    ///< process whose registry `push_revision` refers to
-    std::vector<cluster_member> members; ///< live processes in claim order
+    instant store_unreachable_since{}; ///< since when it has not answered; none: it answers
+    std::uint64_t push_revision{};     ///< last applied registry revision of `push_sender`
+    coordinator_identity push_sender;  ///< process whose registry `push_revision` refers to
+    /// End of what `workers` has beyond the coordinator's registry, from reads of other processes
+    /// or of an earlier coordinator; 0: nothing. It may contain workers that the coordinator has
+    /// never known, if the store has deleted both their entries and their removals. So once the
+    /// coordinator has read as far, a copy of its registry is needed; its pushes do not tell.
+    std::uint64_t unconfirmed_end{};
+    std::vector<cluster_member> members;                          ///< live processes in claim order
     std::map<std::string, worker_load, std::less<>> worker_loads; ///< by worker id
     limit_table limits;                                           ///< rate limits that workers name
     bool is_leaving{};
--- a/include/eelgrassrail/router/stream_reader.hpp
+++ b/include/eelgrassrail/router/stream_reader.hpp
@@ -32,7 +32,6 @@
     boost::asio::awaitable<void> pause(millis time);
     boost::asio::awaitable<void> back_off(std::size_t failures);
     [[nodiscard]] std::vector<worker_change> decode(const std::vector<stream_record>& records);
-    void apply(const std::vector<worker_change>& changes, instant now);
     void on_result(bool is_good, instant sent_at);
 
     boost::asio::any_io_executor m_executor;
@@ -43,8 +42,6 @@
     instant m_routes_read_at{};      ///< when the routes' stream was last read to its end
     instant m_workers_read_at{};
     std::size_t m_failures{}; ///< consecutive failed reads of the workers' stream
-    instant m_recovered_at{}; ///< when the store answered again after an outage
-    std::vector<worker_change> m_deferred_removals; ///< removals that the outage may have caused
 };
 
 } // namespace eelgrassrail
--- a/src/registry/worker_registry.cpp
+++ b/src/registry/worker_registry.cpp
@@ -17,25 +17,24 @@
 
 bool worker_registry::apply(const worker_change& change, instant now)
 {
-    m_end = std::max(m_end, change.offset + 1);
-    auto it = m_workers.find(change.id);
-    const bool is_new = it == m_workers.end();
-    if (!is_new && change.offset <= it->second.offset)
-        return false;
-    if (is_new)
-        it = m_workers.emplace(change.id, known_worker{}).first;
+    const auto [it, is_new] = m_workers.try_emplace(change.id);
     auto& known = it->second;
     const bool was_listed = known.is_listed;
+    if (!is_new && (change.offset < known.offset ||
+                    (change.offset == known.offset && !(change.is_removed && was_listed))))
+        return false;
     known.offset = change.offset;
+    m_newest_end = std::max(m_newest_end, change.offset + 1);
     known.is_listed = !change.is_removed;
     if (change.is_removed)
     {
         known.entry.life.id = change.id;
-        if (!was_listed)
-            return false;
-        known.changed = now;
+        // Other processes may know a change of the worker between its last one here and the
+        // removal.
         known.revision = ++m_revision;
-        return true;
+        if (was_listed || is_new)
+            known.changed = now;
+        return was_listed;
     }
     auto previous = known.entry;
     previous.cold_ms = change.entry.cold_ms;
@@ -93,23 +92,40 @@
     return result;
 }
 
-void worker_registry::replace(const std::vector<worker_change>& listing, std::uint64_t end,
+bool worker_registry::replace(std::span<const worker_change> listing, std::uint64_t end,
                               instant now)
+{
+    const bool is_older = end < m_end;
+    bool has_changed = false;
+    for (const auto& change : listing)
+        if (!is_older || !is_outdated(change, m_end))
+            has_changed = apply(change, now) || has_changed;
+    if (is_older)
+        return has_changed;
+    for (const auto& change : missing_from(listing, end))
+        has_changed = apply(change, now) || has_changed;
+    advance(end);
+    return has_changed;
+}
+
+bool worker_registry::is_outdated(const worker_change& change, std::uint64_t end) const noexcept
+{
+    const auto* known = find(change.id);
+    return change.offset < end && (known == nullptr || !known->is_listed);
+}
+
+std::vector<worker_change> worker_registry::missing_from(std::span<const worker_change> listing,
+                                                         std::uint64_t end) const
 {
     std::set<std::string_view> listed;
     for (const auto& change : listing)
-    {
-        listed.insert(change.id);
-        apply(change, now);
-    }
-    for (auto& [id, known] : m_workers)
-        if (known.is_listed && known.offset < end && !listed.contains(id))
-        {
-            known.is_listed = false;
-            known.changed = now;
-            known.revision = ++m_revision;
-        }
-    m_end = std::max(m_end, end);
+        if (!change.is_removed)
+            listed.insert(change.id);
+    std::vector<worker_change> result;
+    for (const auto& [id, known] : m_workers)
+        if (known.offset < end && !listed.contains(id))
+            result.push_back({id, end - 1, true, {}});
+    return result;
 }
 
 const known_worker* worker_registry::find(std::string_view id) const noexcept
--- a/src/router/router_state.cpp
+++ b/src/router/router_state.cpp
@@ -66,6 +66,12 @@
     {
         coordinator_since = boot_clock::now();
         store_lost_since = {};
+        if (is_coordinator())
+        {
+            // What this process has read in its term is not of the next coordinator.
+            unconfirmed_end = feed.position();
+            push_sender = {};
+        }
     }
     coordinator = record.coordinator;
     if (members.empty())
@@ -136,8 +142,13 @@
     if (same_sender && push.workers_base <= push_revision)
     {
         for (const auto& change : push.workers)
-            has_changes = workers.apply(change, now) || has_changes;
+            if (unconfirmed_end == 0 || !workers.is_outdated(change, workers.end_offset()))
+                has_changes = workers.apply(change, now) || has_changes;
         push_revision = std::max(push_revision, push.workers_revision);
+        if (unconfirmed_end == 0)
+            workers.advance(push.workers_end);
+        else if (push.workers_end >= unconfirmed_end)
+            is_complete = false;
     }
     else if (!same_sender || push.workers_revision > push_revision)
         is_complete = false;
@@ -173,6 +184,11 @@
         changed.notify();
 }
 
+void router_state::on_workers_read()
+{
+    unconfirmed_end = is_coordinator() ? 0 : feed.position();
+}
+
 void router_state::merge_copy(const state_copy& copy, instant now)
 {
     apply_ownership(copy.ownership);
@@ -180,10 +196,28 @@
         apply_routes(copy.routes_text);
     if (copy.workers_end > 0)
     {
-        workers.replace(copy.workers, copy.workers_end, now);
+        const auto known_until = std::max(unconfirmed_end, workers.newest_end());
+        if (copy.revision_of.address.empty())
+        {
+            unconfirmed_end = std::max(known_until, copy.workers_end);
+            for (const auto& change : copy.workers)
+                unconfirmed_end = std::max(unconfirmed_end, change.offset + 1);
+        }
+        else
+            unconfirmed_end = copy.workers_end < known_until ? known_until : 0;
+        if (is_coordinator())
+            feed.apply_listing(copy.workers, copy.workers_end, now);
+        else
+        {
+            // It may list a worker that this process has read to be removed; that is read again.
+            feed.reset();
+            workers.replace(copy.workers, copy.workers_end, now);
+        }
         workers_unknown = false;
     }
-    push_sender = copy.revision_of;
+    // Pushes continue what a copy contains, so one without the workers is not enough.
+    const bool has_workers = copy.workers_end > 0 || workers.newest_end() == 0;
+    push_sender = has_workers ? copy.revision_of : coordinator_identity();
     push_revision = copy.workers_revision;
     fresh_at = std::max(fresh_at, now - millis(copy.age_ms));
     changed.notify();
@@ -196,7 +230,10 @@
     copy.routes_version = routes ? routes->version : 0;
     copy.routes_text = routes_text;
     copy.workers = workers.changes_since(0);
-    copy.revision_of = is_coordinator() ? self : push_sender;
+    if (is_coordinator())
+        copy.revision_of = self;
+    else if (unconfirmed_end == 0)
+        copy.revision_of = push_sender;
     copy.workers_revision = is_coordinator() ? workers.revision() : push_revision;
     copy.workers_end = workers.end_offset();
     copy.age_ms = age_ms(now);
--- a/src/router/stream_reader.cpp
+++ b/src/router/stream_reader.cpp
@@ -31,10 +31,6 @@
 /// retries an unavailable store every 300 ms and notifies the others when it answers again.
 constexpr millis max_backoff{2'000};
 
-/// Worker entries that expired during an outage of the store are written again within about two
-/// seconds after it. Removals within this time are deferred.
-constexpr millis reregistration_window{2'200};
-
 } // namespace
 
 stream_reader::stream_reader(asio::any_io_executor executor, router_state& state)
@@ -80,7 +76,7 @@
     if (m_failures > 0)
     {
         log_info(log_part::platform, "store answers again failures=" + std::to_string(m_failures));
-        m_recovered_at = boot_clock::now();
+        m_state.feed.on_store_returned(boot_clock::now());
     }
     m_failures = 0;
     m_state.store_unreachable_since = {};
@@ -97,6 +93,7 @@
         {
             m_failures = 0;
             m_state.store_unreachable_since = {};
+            m_state.feed.reset();
             co_await pause(inactive_poll_interval);
             continue;
         }
@@ -104,7 +101,8 @@
         const bool is_good =
             m_state.workers_unknown ? co_await read_newest_workers() : co_await read_new_workers();
         on_result(is_good, sent_at);
-        apply({}, boot_clock::now());
+        if (m_state.feed.apply_due(boot_clock::now()))
+            m_state.changed.notify();
         if (is_good)
             co_await pause(workers_read_interval);
         else
@@ -130,32 +128,13 @@
     return result;
 }
 
-void stream_reader::apply(const std::vector<worker_change>& changes, instant now)
-{
-    bool has_updates = false;
-    for (const auto& change : changes)
-    {
-        if (change.is_removed && now < m_recovered_at + reregistration_window)
-            m_deferred_removals.push_back(change);
-        else
-            has_updates = m_state.workers.apply(change, now) || has_updates;
-    }
-    if (!m_deferred_removals.empty() && now >= m_recovered_at + reregistration_window)
-    {
-        for (const auto& change : std::exchange(m_deferred_removals, {}))
-            has_updates = m_state.workers.apply(change, now) || has_updates;
-    }
-    if (has_updates)
-        m_state.changed.notify();
-}
-
 asio::awaitable<bool> stream_reader::read_newest_workers()
 {
     const auto page = co_await m_state.calls.newest(platform_stream::workers);
     if (!page)
         co_return false;
-    const auto now = boot_clock::now();
-    m_state.workers.replace(decode(page->records), page->end, now);
+    m_state.feed.apply_listing(decode(page->records), page->end, boot_clock::now());
+    m_state.on_workers_read();
     m_state.workers_unknown = false;
     m_state.changed.notify();
     co_return true;
@@ -163,13 +142,22 @@
 
 asio::awaitable<bool> stream_reader::read_new_workers()
 {
-    const auto page = co_await m_state.calls.read(platform_stream::workers,
-                                                  m_state.workers.end_offset(), millis(0));
+    const auto page =
+        co_await m_state.calls.read(platform_stream::workers, m_state.feed.position(), millis(0));
     if (!page)
         co_return false;
     if (page->has_gap)
+    {
+        m_state.counters.count("workers_stream_gaps");
+        log_info(log_part::platform,
+                 "records of the workers' stream were deleted; listing them all");
         co_return co_await read_newest_workers();
-    apply(decode(page->records), boot_clock::now());
+    }
+    const bool has_changed =
+        m_state.feed.apply_records(decode(page->records), page->end, boot_clock::now());
+    m_state.on_workers_read();
+    if (has_changed)
+        m_state.changed.notify();
     co_return true;
 }
 
--- a/tests/src/unit-drain.cpp
+++ b/tests/src/unit-drain.cpp
@@ -74,7 +74,7 @@
             workers.apply(change, start_time + millis(1));
             CPPUNIT_ASSERT(workers.ready("s").empty());
         }
-        workers.replace({make_entry(7, 7)}, 8, start_time + millis(2));
+        workers.replace(std::vector{make_entry(7, 7)}, 8, start_time + millis(2));
         CPPUNIT_ASSERT(!workers.find("w")->accepts_work());
         CPPUNIT_ASSERT(workers.find("w")->leaving_since == start_time);
     }
--- a/tests/src/unit-routing.cpp
+++ b/tests/src/unit-routing.cpp
@@ -107,8 +107,11 @@
     CPPUNIT_TEST(an_entry_keeps_to_its_share_of_a_full_worker);
     CPPUNIT_TEST(a_run_that_can_not_end_in_time_is_refused);
     CPPUNIT_TEST(the_newest_entry_counts_in_any_order);
+    CPPUNIT_TEST(the_end_is_where_reading_goes_on);
     CPPUNIT_TEST(a_heartbeat_is_no_news);
     CPPUNIT_TEST(a_listing_removes_what_it_lacks);
+    CPPUNIT_TEST(a_removal_from_a_listing_is_newer_than_the_entry);
+    CPPUNIT_TEST(an_older_listing_adds_no_removed_worker);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -262,6 +265,18 @@
         CPPUNIT_ASSERT(workers.ready("s").empty());
         CPPUNIT_ASSERT(workers.apply(entry("a", 10), start_time));
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), workers.ready("s").size());
+    }
+
+    /// Guards against skipping records: a change with a high offset, such as of a listing in
+    /// several pages, does not show that those before it were read.
+    void the_end_is_where_reading_goes_on()
+    {
+        worker_registry workers;
+        workers.apply(entry("a", 10), start_time);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), workers.end_offset());
+        workers.advance(11);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(11), workers.end_offset());
+        workers.advance(4);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(11), workers.end_offset());
     }
 
@@ -279,13 +294,37 @@
         CPPUNIT_ASSERT(workers.ready("s").empty());
     }
 
+    /// Guards against removed workers that stay in use at processes which learn of them by changes:
+    /// the record of the removal was deleted, so the coordinator learned of it from a listing.
+    void a_removal_from_a_listing_is_newer_than_the_entry()
+    {
+        worker_registry coordinator;
+        worker_registry other;
+        for (auto* it : {&coordinator, &other})
+            it->apply(entry("a", 1), start_time);
+        const auto revision = coordinator.revision();
+        coordinator.replace(std::vector<worker_change>{}, 5, start_time);
+        for (const auto& change : coordinator.changes_since(revision))
+            other.apply(change, start_time);
+        CPPUNIT_ASSERT(!other.find("a")->is_listed);
+    }
+
+    /// Guards against removed workers that are listed again by a copy from before their removal.
+    void an_older_listing_adds_no_removed_worker()
+    {
+        worker_registry workers;
+        workers.replace(std::vector{entry("b", 2)}, 10, start_time);
+        workers.replace(std::vector{entry("a", 1), entry("b", 2)}, 5, start_time);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), workers.ready("s").size());
+    }
+
     void a_listing_removes_what_it_lacks()
     {
         worker_registry workers;
         workers.apply(entry("a", 1), start_time);
         workers.apply(entry("b", 2), start_time);
         workers.apply(entry("c", 20), start_time); // newer than the listing
-        workers.replace({entry("b", 3)}, 10, start_time);
+        workers.replace(std::vector{entry("b", 3)}, 10, start_time);
         CPPUNIT_ASSERT(!workers.find("a")->is_listed);
         CPPUNIT_ASSERT(workers.find("b")->is_listed);
         CPPUNIT_ASSERT(workers.find("c")->is_listed);
