Registry: removals are deferred only if entries may have lapsed

Cause: removals were deferred for 2.2 s after each failed read, as entries lapse while the store is away. The wait counted from this process's own view: it alone was cut off, for one second, in which no entry can lapse. Beside it, the first page after an outage, with the lapsed entries, was applied before the outage was noted: then all workers were gone for up to two seconds.

Removals are deferred if it may have lasted 2.5 report intervals, and then from the first page on, also from listings and copies. A successor knows an outage from the pushes of the coordinator before it.

Ruled out: the interval of reads (0.5 s) and of pushes alone; a shorter window, as entries are back only after two seconds.

--- a/include/eelgrassrail/registry/worker_feed.hpp
+++ b/include/eelgrassrail/registry/worker_feed.hpp
@@ -1,7 +1,9 @@
 /// Application of the workers' stream, as this process reads it, to its registry.
 ///
-/// After an outage of the store removals are deferred, since entries of living workers may have
-/// lapsed meanwhile.
+/// Entries of living workers lapse during an outage of the store and are written again after it, so
+/// removals are deferred then. The length of an outage follows from the instants at which the store
+/// is known to have answered any process, not from the failed reads of this one: it may be the only
+/// one that was cut off, and the removals that it reads then are in force for the others.
 ///
 /// The registry counts as complete only up to the first deferred removal: whoever takes over from
 /// this process, or from a copy of its state, reads that removal again.
@@ -9,6 +11,7 @@
 
 #include <eelgrassrail/registry/worker_registry.hpp>
 
+#include <optional>
 #include <span>
 #include <vector>
 
@@ -20,8 +23,10 @@
 {
   public:
     /// @param workers has to outlive the feed
-    explicit worker_feed(worker_registry& workers) noexcept
+    /// @param report_interval at which workers renew their entries
+    worker_feed(worker_registry& workers, millis report_interval) noexcept
         : m_workers(workers)
+        , m_min_outage(std::chrono::duration_cast<millis>(lapse_intervals * report_interval))
     {
     }
 
@@ -42,8 +47,12 @@
     /// @return whether the registry has changed
     bool apply_due(instant now);
 
-    /// @brief Records that the store has answered again after it did not.
-    void on_store_returned(instant now) noexcept { m_removals_from = now + reregistration_window; }
+    /// @brief Records that the store has answered a process.
+    /// @param earliest,latest between them; earlier ones than those known change nothing
+    void on_store_answered(instant earliest, instant latest) noexcept;
+
+    /// @brief When the deferred removals are due; none: there are no deferred ones.
+    [[nodiscard]] std::optional<instant> due_at() const noexcept;
 
     /// @brief Forgets the position and the deferred removals, as another process reads the stream
     /// from now on.
@@ -53,6 +62,11 @@
     /// seconds after it.
     static constexpr millis reregistration_window{2'200};
 
+    /// An entry lapses three report intervals after the last report. That may be one interval
+    /// before an outage, so shorter ones than two lapse nothing. The time between two known answers
+    /// is longer than the outage between them, by half an interval or more.
+    static constexpr double lapse_intervals = 2.5;
+
   private:
     /// A removal that is not in force yet.
     struct deferred_removal
@@ -65,8 +79,10 @@
     void advance();
 
     worker_registry& m_workers;
-    std::uint64_t m_position{};               ///< offset up to which this process has read
-    instant m_removals_from{};                ///< removals before this instant are deferred
+    const millis m_min_outage;  ///< time without an answer after which removals are deferred
+    instant m_answered{};       ///< last instant at which the store is known to have answered
+    std::uint64_t m_position{}; ///< offset up to which this process has read
+    instant m_removals_from{};  ///< removals before this instant are deferred
     std::vector<deferred_removal> m_deferred; ///< removals that an outage may have caused
 };
 
--- a/include/eelgrassrail/router/router_state.hpp
+++ b/include/eelgrassrail/router/router_state.hpp
@@ -103,7 +103,7 @@
     std::shared_ptr<const route_table> routes; ///< null: none known; versions only increase
     std::string routes_text;                   ///< of `routes`, as the store holds it
     worker_registry workers;
-    worker_feed feed{workers};  ///< of this process's own reads of the workers' stream
+    worker_feed feed;           ///< of this process's own reads of the workers' stream
     bool workers_unknown{true}; ///< no read of the workers' stream or copy yet
     service_maps maps;          ///< owners of the keys
     /// Of `maps`; epoch in the upper bits. Invariant: the epoch is on record, with `coordinator`;
--- a/include/eelgrassrail/router/stream_reader.hpp
+++ b/include/eelgrassrail/router/stream_reader.hpp
@@ -31,6 +31,7 @@
     boost::asio::awaitable<bool> read_new_workers();
     boost::asio::awaitable<void> pause(millis time);
     boost::asio::awaitable<void> back_off(std::size_t failures);
+    [[nodiscard]] millis next_read_interval() const;
     [[nodiscard]] std::vector<worker_change> decode(const std::vector<stream_record>& records);
     void on_result(bool is_good, instant sent_at);
 
--- a/src/registry/worker_feed.cpp
+++ b/src/registry/worker_feed.cpp
@@ -43,6 +43,20 @@
     return has_changed;
 }
 
+void worker_feed::on_store_answered(instant earliest, instant latest) noexcept
+{
+    if (latest <= m_answered)
+        return;
+    if (m_answered != instant{} && latest - m_answered >= m_min_outage)
+        m_removals_from = std::max(m_removals_from, latest + reregistration_window);
+    m_answered = std::max(m_answered, earliest);
+}
+
+std::optional<instant> worker_feed::due_at() const noexcept
+{
+    return m_deferred.empty() ? std::nullopt : std::optional(m_removals_from);
+}
+
 bool worker_feed::apply_due(instant now)
 {
     if (m_deferred.empty() || now < m_removals_from)
--- a/src/router/router_state.cpp
+++ b/src/router/router_state.cpp
@@ -27,6 +27,7 @@
     , format(std::move(names))
     , self{settings.peer_address, settings.zone, unix_ms()}
     , started(boot_clock::now())
+    , feed(workers, settings.worker_heartbeat)
     , changed(executor)
 {
 }
@@ -119,7 +120,10 @@
         return true; // from a superseded coordinator that does not know it yet
     last_push = now;
     if (!push.lacks_store)
+    {
         store_lost_since = {};
+        feed.on_store_answered(now, now);
+    }
     else if (store_lost_since == instant{})
         store_lost_since = now;
     if (!push.members.empty())
@@ -205,6 +209,7 @@
         }
         else
             unconfirmed_end = copy.workers_end < known_until ? known_until : 0;
+        feed.on_store_answered(now - millis(copy.age_ms), now - millis(copy.age_ms));
         if (is_coordinator())
             feed.apply_listing(copy.workers, copy.workers_end, now);
         else
--- a/src/router/stream_reader.cpp
+++ b/src/router/stream_reader.cpp
@@ -76,7 +76,6 @@
     if (m_failures > 0)
     {
         log_info(log_part::platform, "store answers again failures=" + std::to_string(m_failures));
-        m_state.feed.on_store_returned(boot_clock::now());
     }
     m_failures = 0;
     m_state.store_unreachable_since = {};
@@ -104,7 +103,7 @@
         if (m_state.feed.apply_due(boot_clock::now()))
             m_state.changed.notify();
         if (is_good)
-            co_await pause(workers_read_interval);
+            co_await pause(next_read_interval());
         else
             co_await back_off(m_failures);
     }
@@ -128,11 +127,23 @@
     return result;
 }
 
+/// Time until the next read, or until deferred removals are due if that is earlier.
+millis stream_reader::next_read_interval() const
+{
+    const auto due = m_state.feed.due_at();
+    if (!due)
+        return workers_read_interval;
+    return std::clamp(std::chrono::ceil<millis>(*due - boot_clock::now()), millis(0),
+                      workers_read_interval);
+}
+
 asio::awaitable<bool> stream_reader::read_newest_workers()
 {
+    const auto sent_at = boot_clock::now();
     const auto page = co_await m_state.calls.newest(platform_stream::workers);
     if (!page)
         co_return false;
+    m_state.feed.on_store_answered(sent_at, boot_clock::now());
     m_state.feed.apply_listing(decode(page->records), page->end, boot_clock::now());
     m_state.on_workers_read();
     m_state.workers_unknown = false;
@@ -142,10 +153,12 @@
 
 asio::awaitable<bool> stream_reader::read_new_workers()
 {
+    const auto sent_at = boot_clock::now();
     const auto page =
         co_await m_state.calls.read(platform_stream::workers, m_state.feed.position(), millis(0));
     if (!page)
         co_return false;
+    m_state.feed.on_store_answered(sent_at, boot_clock::now());
     if (page->has_gap)
     {
         m_state.counters.count("workers_stream_gaps");
--- /dev/null
+++ b/tests/src/session-store_cut.cpp
@@ -0,0 +1,215 @@
+/// Removals of workers after a process was cut off from the store, or after an outage of the store.
+/// The reading task runs against a store in memory, in real time.
+#include <eelgrassrail/router/router_state.hpp>
+#include <eelgrassrail/router/stream_reader.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <eelgrassrail_platform/wire_names.hpp>
+#include <exception>
+#include <span>
+#include <string>
+#include <vector>
+
+using namespace eelgrassrail;
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+/// The workers' stream of a store, which one process may be cut off from.
+class memory_store
+{
+  public:
+    void put(const std::string& id, bool is_listed)
+    {
+        m_records.push_back({m_records.size(), id, is_listed ? "listed" : ""});
+    }
+
+    platform_calls calls()
+    {
+        platform_calls result;
+        result.newest = [this](platform_stream stream) { return read(stream, 0); };
+        result.read = [this](platform_stream stream, std::uint64_t from, millis)
+        { return read(stream, from); };
+        result.decode_worker = [](const stream_record& record)
+        {
+            worker_change change;
+            change.id = record.key;
+            change.offset = record.offset;
+            change.is_removed = record.value.empty();
+            change.entry.life = {record.key, 1};
+            change.entry.service = "s";
+            return change;
+        };
+        return result;
+    }
+
+    bool is_cut{}; ///< reads fail at once
+
+  private:
+    asio::awaitable<std::optional<stream_page>> read(platform_stream stream, std::uint64_t from)
+    {
+        if (is_cut || stream != platform_stream::workers)
+            co_return std::nullopt;
+        stream_page page;
+        const auto records = std::span(m_records).subspan(from);
+        page.records.assign(records.begin(), records.end());
+        page.end = m_records.size();
+        co_return page;
+    }
+
+    std::vector<stream_record> m_records;
+};
+
+router_settings make_settings()
+{
+    router_settings settings;
+    settings.worker_heartbeat = millis(870);
+    return settings;
+}
+
+/// One process that has read that the worker `a` is listed.
+struct reading_process
+{
+    reading_process()
+        : state(context.get_executor(), make_settings(), store.calls(), platform::wire_names())
+        , reader(context.get_executor(), state)
+    {
+        store.put("a", true);
+        reader.start([] { return true; });
+    }
+
+    /// Runs a session to completion and rethrows its exception.
+    void run(asio::awaitable<void> session)
+    {
+        std::exception_ptr failure;
+        asio::co_spawn(context, std::move(session),
+                       [&](const std::exception_ptr& thrown)
+                       {
+                           failure = thrown;
+                           context.stop();
+                       });
+        context.run();
+        if (failure)
+            std::rethrow_exception(failure);
+    }
+
+    asio::awaitable<void> delay(millis time)
+    {
+        asio::steady_timer timer(context, time);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+
+    asio::awaitable<void> cut_store(millis time)
+    {
+        co_await delay(settle_time);
+        CPPUNIT_ASSERT(is_listed());
+        store.is_cut = true;
+        co_await delay(time);
+        store.is_cut = false;
+    }
+
+    [[nodiscard]] bool is_listed() const
+    {
+        const auto* known = state.workers.find("a");
+        return known != nullptr && known->is_listed;
+    }
+
+    static constexpr millis settle_time{700}; ///< a read interval and more
+
+    asio::io_context context{1};
+    memory_store store;
+    router_state state;
+    stream_reader reader;
+};
+
+} // namespace
+
+class session_store_cut : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(session_store_cut);
+    CPPUNIT_TEST(a_removal_after_a_short_cut_is_in_force_in_time);
+    CPPUNIT_TEST(a_removal_after_a_cut_of_this_process_is_in_force_in_time);
+    CPPUNIT_TEST(an_entry_that_lapsed_in_an_outage_is_kept);
+    CPPUNIT_TEST_SUITE_END();
+
+    /// A removed worker must get no requests after this time.
+    static constexpr millis drain{2'000};
+
+  public:
+    /// Guards against removals that take effect too late for all processes, since the one that
+    /// reads the store for them missed a read and took that for an outage of the store.
+    void a_removal_after_a_short_cut_is_in_force_in_time()
+    {
+        reading_process it;
+        it.run(remove_after_cut(it, millis(1'000)));
+    }
+
+    /// As above, after a longer cut, in which the store has answered another process.
+    void a_removal_after_a_cut_of_this_process_is_in_force_in_time()
+    {
+        reading_process it;
+        asio::co_spawn(
+            it.context,
+            [&]() -> asio::awaitable<void>
+            {
+                for (;;)
+                {
+                    co_await it.delay(millis(300));
+                    it.state.feed.on_store_answered(boot_clock::now(), boot_clock::now());
+                }
+            },
+            asio::detached);
+        it.run(remove_after_cut(it, millis(4'000)));
+    }
+
+    /// Guards against the loss of all workers for seconds after an outage of the store: their
+    /// entries lapsed in it, which the first read shows, and are written again within two seconds.
+    void an_entry_that_lapsed_in_an_outage_is_kept()
+    {
+        reading_process it;
+        it.run(lapse_in_outage(it));
+    }
+
+  private:
+    static asio::awaitable<void> remove_after_cut(reading_process& it, millis cut)
+    {
+        constexpr millis after_cut{400};
+        co_await it.cut_store(cut);
+        co_await it.delay(after_cut);
+        it.store.put("a", false);
+        co_await it.delay(drain);
+        CPPUNIT_ASSERT(!it.is_listed());
+    }
+
+    static asio::awaitable<void> lapse_in_outage(reading_process& it)
+    {
+        constexpr millis outage{4'000};
+        constexpr millis until_written{1'900};
+        constexpr millis interval{50};
+        it.store.put("b", true);
+        co_await it.cut_store(outage);
+        it.store.put("a", false);
+        it.store.put("b", false);
+        const auto until = boot_clock::now() + until_written;
+        while (boot_clock::now() < until)
+        {
+            CPPUNIT_ASSERT(it.is_listed());
+            co_await it.delay(interval);
+        }
+        it.store.put("a", true);
+        // One that is still missing is taken as gone.
+        co_await it.delay(drain);
+        CPPUNIT_ASSERT(it.is_listed());
+        CPPUNIT_ASSERT(!it.state.workers.find("b")->is_listed);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(session_store_cut);
