Requests: an owner that can not be called does not block the event loop

Cause: the entry of the owner of a key has an address that is not IP:PORT. send() returned without giving up the event loop, the same worker was selected again, and the loop ended only at the deadline of the request.

Change: a request for a key waits for a change of the owners, or the retry interval, as after other attempts that were not sent.

Ruled out: requests without a key (the worker is excluded for the request).

--- a/src/router/request_forwarder.cpp
+++ b/src/router/request_forwarder.cpp
@@ -199,7 +199,10 @@
     const auto link = m_links.get(entry);
     if (!link)
     {
+        // The owner of the key would be selected again at once.
         request.refused_by.insert(entry.life.id);
+        if (request.key)
+            co_await m_state.changed.wait(owner_retry_interval);
         co_return result;
     }
     const auto started_at = boot_clock::now();
--- a/tests/src/unit-faulty_workers.cpp
+++ b/tests/src/unit-faulty_workers.cpp
@@ -4,6 +4,7 @@
 #include <eelgrassrail/router/request_forwarder.hpp>
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <cppunit/extensions/HelperMacros.h>
@@ -197,6 +198,7 @@
     CPPUNIT_TEST(no_part_of_an_answer_counts_on_a_used_connection);
     CPPUNIT_TEST(a_repeatable_request_that_may_have_run_is_not_refused_as_not_run);
     CPPUNIT_TEST(a_request_that_waited_is_not_passed_on_late_in_a_stop);
+    CPPUNIT_TEST(an_owner_without_an_address_does_not_block_others);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -430,6 +432,46 @@
         return answer;
     }
 
+    static void set_address(faulty_cluster& cluster, const std::string& id,
+                            const std::string& address)
+    {
+        worker_change change;
+        change.id = id;
+        change.offset = 100;
+        change.entry = cluster.state.workers.find(id)->entry;
+        change.entry.address = address;
+        cluster.state.workers.apply(change, boot_clock::now());
+    }
+
+  public:
+    /// Guards against a request that is tried again and again without giving up the event loop: the
+    /// entry of the owner of its key has an address that can not be called. All requests stood
+    /// still.
+    void an_owner_without_an_address_does_not_block_others()
+    {
+        constexpr millis interval{20};
+        constexpr int min_turns = 10;
+        faulty_cluster cluster;
+        cluster.add_worker(true, [](const byte_request& it) { return runs(it.attempt); });
+        set_address(cluster, "w1", "nowhere");
+        int turns = 0;
+        asio::co_spawn(
+            cluster.context,
+            [&]() -> asio::awaitable<void>
+            {
+                for (;;)
+                {
+                    asio::steady_timer timer(cluster.context, interval);
+                    co_await timer.async_wait(asio::use_awaitable);
+                    ++turns;
+                }
+            },
+            asio::detached);
+        cluster.run("/file/x", {"a"}, {});
+        CPPUNIT_ASSERT(turns >= min_turns);
+    }
+
+  private:
     /// All attempts but the last one are answered; the last one gets a part of an answer.
     static void check_part(const std::string& whole, std::size_t length, byte_end end,
                            const std::vector<std::string>& attempts)
