Requests: a worker at whose address another one answers is backed off from

Callers saw: requests that end without success, as their attempts are used up at an entry of another writer with the address of a worker. The worker there answers 421 at once, so the entry looks idle and is drawn often.

Cause: 421 excluded the worker for the one request only; it counted neither as a rejection nor as a failure.

Change: it counts as a rejection for the send backoff.

--- a/src/router/request_forwarder.cpp
+++ b/src/router/request_forwarder.cpp
@@ -287,7 +287,11 @@
         if (request.key)
             co_await m_state.changed.wait(owner_retry_interval);
         else
+        {
+            // Another worker answers at the address of the entry.
             request.refused_by.insert(entry.life.id);
+            link->backoff.on_rejected(now, std::uniform_real_distribution<double>(0, 1)(m_random));
+        }
         break;
     case reply_kind::lost:
     case reply_kind::invalid:
--- a/tests/src/unit-faulty_workers.cpp
+++ b/tests/src/unit-faulty_workers.cpp
@@ -199,6 +199,7 @@
     CPPUNIT_TEST(a_repeatable_request_that_may_have_run_is_not_refused_as_not_run);
     CPPUNIT_TEST(a_request_that_waited_is_not_passed_on_late_in_a_stop);
     CPPUNIT_TEST(an_owner_without_an_address_does_not_block_others);
+    CPPUNIT_TEST(an_entry_at_the_address_of_a_worker_takes_few_requests);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -471,6 +472,25 @@
         CPPUNIT_ASSERT(turns >= min_turns);
     }
 
+    /// Guards against requests that are used up by an entry of another writer: it has the address
+    /// of a worker, whose answers come at once, so that it looks idle.
+    void an_entry_at_the_address_of_a_worker_takes_few_requests()
+    {
+        constexpr int requests = 60;
+        constexpr unsigned other_worker = 421;
+        faulty_cluster cluster;
+        cluster.add_worker(false, [](const byte_request& it) { return runs(it.attempt); });
+        auto& named = cluster.add_worker(false, [](const byte_request& it)
+                                         { return refuses(other_worker, it.attempt); });
+        std::vector<std::string> attempts;
+        for (int n = 0; n < requests; ++n)
+            attempts.push_back("a" + std::to_string(n));
+        const auto replies = cluster.run("/book/x", attempts);
+        CPPUNIT_ASSERT(std::ranges::all_of(replies, [](const http_reply& reply)
+                                           { return reply.status == 200; }));
+        CPPUNIT_ASSERT(named.received() <= requests / 10);
+    }
+
   private:
     /// All attempts but the last one are answered; the last one gets a part of an answer.
     static void check_part(const std::string& whole, std::size_t length, byte_end end,
