Registry: entries of other writers are checked where they are read

Other operators report machines that end, or stop following the list of workers, at one odd entry. Here the process lived, but: records that can not be read did not move the position, so that four large ones stopped the reading for good; a malformed record or a key that is not UTF-8 failed the whole page; entries without some of their fields were used; an id with a line break went into the head of requests, and names of many KB into pushes; an entry of an unknown service, or one that can not be read, took the place of a worker's own one under its id.

Cause: what an entry says was checked where it was used, if at all, and a failure at one entry was a failure of its page.

Change: router/entry_check is applied to each entry that is read; the adapter requires all fields in their types and skips records that it can not frame. What is refused changes nothing. A worker whose entry was overwritten before its history was deleted holds for a report interval and a read.

Ruled out: deep nesting (the parser refuses it; tested).

Tests, red before on: unit_platform::odd_entries_are_refused, a_malformed_record_hides_no_other, a_key_that_is_not_text_hides_no_other; session_store_cut::entries_that_can_not_be_read_do_not_stop_reading and an_entry_of_another_writer_does_not_remove_a_worker.

--- a/include/eelgrassrail/registry/worker_feed.hpp
+++ b/include/eelgrassrail/registry/worker_feed.hpp
@@ -26,6 +26,7 @@
     /// @param report_interval at which workers renew their entries
     worker_feed(worker_registry& workers, millis report_interval) noexcept
         : m_workers(workers)
+        , m_report_interval(report_interval)
         , m_min_outage(std::chrono::duration_cast<millis>(lapse_intervals * report_interval))
     {
     }
@@ -40,8 +41,13 @@
 
     /// @brief Applies a complete listing of the workers, from the store or from another process.
     /// @param end offset before which the listing is complete
+    /// @param overwritten removals of the workers under whose ids the listing has an entry of
+    /// another writer. The worker's own entry was overwritten, or it was removed before; if it
+    /// lives, it writes its entry again within a report interval. Until then the removal is
+    /// deferred.
     /// @return whether the registry has changed
-    bool apply_listing(std::span<const worker_change> listing, std::uint64_t end, instant now);
+    bool apply_listing(std::span<const worker_change> listing, std::uint64_t end, instant now,
+                       std::span<const worker_change> overwritten = {});
 
     /// @brief Applies the deferred removals that are due.
     /// @return whether the registry has changed
@@ -73,12 +79,14 @@
     {
         worker_change change;
         std::uint64_t complete_until{}; ///< whoever reads from there on learns of the removal
+        instant due{};
     };
 
     bool apply_or_defer(const worker_change& change, std::uint64_t complete_until, instant now);
     void advance();
 
     worker_registry& m_workers;
+    const millis m_report_interval;
     const millis m_min_outage;  ///< time without an answer after which removals are deferred
     instant m_answered{};       ///< last instant at which the store is known to have answered
     std::uint64_t m_position{}; ///< offset up to which this process has read
--- a/include/eelgrassrail/router/stream_reader.hpp
+++ b/include/eelgrassrail/router/stream_reader.hpp
@@ -4,6 +4,8 @@
 #include <eelgrassrail/router/router_state.hpp>
 
 #include <functional>
+#include <optional>
+#include <string>
 #include <vector>
 
 namespace eelgrassrail
@@ -32,7 +34,16 @@
     boost::asio::awaitable<void> pause(millis time);
     boost::asio::awaitable<void> back_off(std::size_t failures);
     [[nodiscard]] millis next_read_interval() const;
-    [[nodiscard]] std::vector<worker_change> decode(const std::vector<stream_record>& records);
+    /// Entries of workers, and of others.
+    struct decoded_entries
+    {
+        std::vector<worker_change> changes;
+        std::vector<worker_change> overwritten; ///< removals of the ids of entries of other writers
+    };
+
+    [[nodiscard]] decoded_entries decode(const std::vector<stream_record>& records);
+    [[nodiscard]] std::string find_defect(const worker_entry& entry);
+    [[nodiscard]] bool needs_listing() const;
     void on_result(bool is_good, instant sent_at);
 
     boost::asio::any_io_executor m_executor;
@@ -40,7 +51,10 @@
     std::function<bool()> m_is_active;
     bool m_stopped{};
     std::uint64_t m_routes_offset{}; ///< next offset of the routes' stream
-    instant m_routes_read_at{};      ///< when the routes' stream was last read to its end
+    /// Version of the routes by which an entry was ignored, as they do not name its service; later
+    /// ones may. None: no entry was.
+    std::optional<std::uint64_t> m_ignored_by_version;
+    instant m_routes_read_at{}; ///< when the routes' stream was last read to its end
     instant m_workers_read_at{};
     std::size_t m_failures{}; ///< consecutive failed reads of the workers' stream
 };
--- a/src/registry/worker_feed.cpp
+++ b/src/registry/worker_feed.cpp
@@ -24,8 +24,11 @@
 }
 
 bool worker_feed::apply_listing(std::span<const worker_change> listing, std::uint64_t end,
-                                instant now)
+                                instant now, std::span<const worker_change> overwritten)
 {
+    constexpr millis read_interval{500}; // the worker's entry may be written right after a read
+    const auto is_overwritten = [&](const worker_change& change)
+    { return std::ranges::find(overwritten, change.id, &worker_change::id) != overwritten.end(); };
     const auto before = m_workers.end_offset();
     const auto read_until = position();
     const bool is_older = end < read_until;
@@ -37,7 +40,11 @@
         return has_changed;
     // The record of such a removal is anywhere after what was known before.
     for (const auto& change : m_workers.missing_from(listing, end))
-        has_changed = apply_or_defer(change, before, now) || has_changed;
+        if (!is_overwritten(change))
+            has_changed = apply_or_defer(change, before, now) || has_changed;
+    for (const auto& change : overwritten)
+        if (m_workers.find(change.id) != nullptr)
+            m_deferred.push_back({change, before, now + m_report_interval + read_interval});
     m_position = std::max(m_position, end);
     advance();
     return has_changed;
@@ -54,16 +61,21 @@
 
 std::optional<instant> worker_feed::due_at() const noexcept
 {
-    return m_deferred.empty() ? std::nullopt : std::optional(m_removals_from);
+    if (m_deferred.empty())
+        return std::nullopt;
+    return std::ranges::min(m_deferred, {}, &deferred_removal::due).due;
 }
 
 bool worker_feed::apply_due(instant now)
 {
-    if (m_deferred.empty() || now < m_removals_from)
+    const auto due = std::ranges::partition(m_deferred, [now](const deferred_removal& item)
+                                            { return now < item.due; });
+    if (due.empty())
         return false;
     bool has_changed = false;
-    for (const auto& item : std::exchange(m_deferred, {}))
+    for (const auto& item : due)
         has_changed = m_workers.apply(item.change, now) || has_changed;
+    m_deferred.erase(due.begin(), due.end());
     advance();
     return has_changed;
 }
@@ -79,7 +91,7 @@
 {
     if (!change.is_removed || now >= m_removals_from)
         return m_workers.apply(change, now);
-    m_deferred.push_back({change, complete_until});
+    m_deferred.push_back({change, complete_until, m_removals_from});
     return false;
 }
 
--- a/src/router/router_state.cpp
+++ b/src/router/router_state.cpp
@@ -146,7 +146,7 @@
     if (same_sender && push.workers_base <= push_revision)
     {
         for (const auto& change : push.workers)
-            if (unconfirmed_end == 0 || !workers.is_outdated(change, workers.end_offset()))
+            if (unconfirmed_end == 0 || !workers.is_outdated(change, feed.position()))
                 has_changes = workers.apply(change, now) || has_changes;
         push_revision = std::max(push_revision, push.workers_revision);
         if (unconfirmed_end == 0)
--- a/src/router/stream_reader.cpp
+++ b/src/router/stream_reader.cpp
@@ -2,6 +2,7 @@
 #include <eelgrassrail/core/exception.hpp>
 #include <eelgrassrail/observe/log.hpp>
 #include <eelgrassrail/router/boot_timer.hpp>
+#include <eelgrassrail/router/entry_check.hpp>
 #include <eelgrassrail/router/stream_reader.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -98,7 +99,7 @@
         }
         const auto sent_at = boot_clock::now();
         const bool is_good =
-            m_state.workers_unknown ? co_await read_newest_workers() : co_await read_new_workers();
+            needs_listing() ? co_await read_newest_workers() : co_await read_new_workers();
         on_result(is_good, sent_at);
         if (m_state.feed.apply_due(boot_clock::now()))
             m_state.changed.notify();
@@ -109,20 +110,49 @@
     }
 }
 
-std::vector<worker_change> stream_reader::decode(const std::vector<stream_record>& records)
+/// Whether an entry that was ignored may be of a worker by the routes in force.
+bool stream_reader::needs_listing() const
 {
-    std::vector<worker_change> result;
+    return m_state.workers_unknown || (m_ignored_by_version && m_state.routes &&
+                                       m_state.routes->version > *m_ignored_by_version);
+}
+
+/// Why an entry is none of a worker; empty if it may be one.
+std::string stream_reader::find_defect(const worker_entry& entry)
+{
+    auto defect = eelgrassrail::find_defect(entry);
+    if (!defect.empty() || !m_state.routes ||
+        m_state.routes->find_service(entry.service) != nullptr)
+        return defect;
+    m_ignored_by_version = m_state.routes->version;
+    return "no service of its name";
+}
+
+stream_reader::decoded_entries stream_reader::decode(const std::vector<stream_record>& records)
+{
+    decoded_entries result;
     for (const auto& record : records)
     {
+        std::string defect;
         try
         {
-            result.push_back(m_state.calls.decode_worker(record));
+            auto change = m_state.calls.decode_worker(record);
+            if (!change.is_removed)
+                defect = find_defect(change.entry);
+            if (defect.empty())
+                result.changes.push_back(std::move(change));
         }
         catch (const exception& e)
         {
-            m_state.counters.count("worker_entries_ignored");
-            log_debug(log_part::platform, "entry " + record.key + " ignored: " + e.what());
+            defect = e.what();
         }
+        if (defect.empty())
+            continue;
+        result.overwritten.push_back({record.key, record.offset, true, {}});
+        m_state.counters.count("worker_entries_ignored");
+        log_debug(log_part::platform, "entry ignored offset=" + std::to_string(record.offset) +
+                                          " key_bytes=" + std::to_string(record.key.size()) +
+                                          " why=" + defect);
     }
     return result;
 }
@@ -144,7 +174,9 @@
     if (!page)
         co_return false;
     m_state.feed.on_store_answered(sent_at, boot_clock::now());
-    m_state.feed.apply_listing(decode(page->records), page->end, boot_clock::now());
+    m_ignored_by_version.reset();
+    const auto entries = decode(page->records);
+    m_state.feed.apply_listing(entries.changes, page->end, boot_clock::now(), entries.overwritten);
     m_state.on_workers_read();
     m_state.workers_unknown = false;
     m_state.changed.notify();
@@ -167,7 +199,7 @@
         co_return co_await read_newest_workers();
     }
     const bool has_changed =
-        m_state.feed.apply_records(decode(page->records), page->end, boot_clock::now());
+        m_state.feed.apply_records(decode(page->records).changes, page->end, boot_clock::now());
     m_state.on_workers_read();
     if (has_changed)
         m_state.changed.notify();
--- a/tests/model/fault_history.cpp
+++ b/tests/model/fault_history.cpp
@@ -97,6 +97,14 @@
          { it.m_world.store().compact(1 + random.below(3)); }},
         {"kill_worker", 1.0, [](fault_history& it, chance& random) { it.kill_worker(random); }},
         {"reuse_address", 0.5, [](fault_history& it, chance& random) { it.reuse_address(random); }},
+        {"worker_compaction", 1.0,
+         [](fault_history& it, chance& random)
+         {
+             if (random.is(0.5))
+                 it.unlist_workers(random);
+             it.m_world.events().after(random.ms(0, 600),
+                                       [&it] { it.m_world.store().compact_workers(); });
+         }},
         {"foreign_entry", 1.0, [](fault_history& it, chance& random) { it.foreign_entry(random); }},
         {"leave_worker", 0.5,
          [](fault_history& it, chance& random)
--- a/tests/model/model_store.cpp
+++ b/tests/model/model_store.cpp
@@ -95,6 +95,12 @@
     log.first = std::max<std::uint64_t>(log.first, first);
 }
 
+void model_store::compact_workers()
+{
+    auto& log = log_of(platform_stream::workers);
+    log.first = log.records.size();
+}
+
 model_store::call_fate model_store::draw_fate(std::size_t process, bool is_append)
 {
     constexpr double max_usual_ms = 5.0;
--- a/tests/model/model_store.hpp
+++ b/tests/model/model_store.hpp
@@ -59,6 +59,13 @@
     void put(platform_stream stream, const std::string& key, std::string value);
     /// @brief Deletes the ownership records but the newest ones.
     void compact(std::size_t kept);
+    /// @brief Deletes the history of the workers' entries; the newest ones stay listed.
+    void compact_workers();
+    /// @brief Whether there is an entry of a worker.
+    [[nodiscard]] bool is_listed(const std::string& id) const
+    {
+        return log_of(platform_stream::workers).newest.contains(id);
+    }
 
     [[nodiscard]] std::uint64_t claims() const { return m_claims; }
 
--- a/tests/model/model_world.cpp
+++ b/tests/model/model_world.cpp
@@ -31,6 +31,10 @@
                                [&](std::string_view start) { return text.starts_with(start); });
 }
 
+/// Time after the end of all faults until the views are checked. A claim, the deferral of removals
+/// and a copy fit into it.
+constexpr millis settle_time{12'000};
+
 /// The first and last key that a line names; all keys if it names none.
 std::pair<std::uint32_t, std::uint32_t> keys_of(const std::string& text)
 {
@@ -56,6 +60,7 @@
                { return is_excused(process, worker); },
                [this](const worker_entry& entry, bool is_listed)
                {
+                   m_changed[entry.life.id] = model_now();
                    m_journal.add_line(entry.life.id + (is_listed ? " listed" : " not listed"));
                    m_store.put(platform_stream::workers, entry.life.id,
                                is_listed ? write_message(entry) : std::string());
@@ -97,7 +102,44 @@
 
 void model_world::run()
 {
-    const auto end = model_now() + m_settings.time;
+    run_for(m_settings.time);
+    if (m_violations.size() >= m_settings.max_violations)
+        return;
+    const auto has_lost_claims = m_conditions.has_lost_claims;
+    m_conditions = {};
+    m_conditions.has_lost_claims = has_lost_claims;
+    m_cuts = {};
+    for (auto& it : m_places)
+        it.frozen_until = it.slow_until = {};
+    run_for(settle_time + settle_time / 2);
+    check_views();
+}
+
+/// No process uses a worker that was removed, or misses one that is listed.
+void model_world::check_views()
+{
+    const auto before = model_now() - settle_time;
+    for (const auto& it : m_places)
+    {
+        if (!it.process || it.started > before || it.frozen_until > before ||
+            it.slow_until > before || !it.process->state().can_serve())
+            continue;
+        for (const auto& [id, changed] : m_changed)
+        {
+            const auto* known = it.process->state().workers.find(id);
+            const bool is_listed = known != nullptr && known->is_listed;
+            if (changed < before && is_listed != m_store.is_listed(id))
+                m_violations.push_back("VIEW of " + it.process->name() + ": " + id +
+                                       (is_listed ? " is listed, but was removed at "
+                                                  : " is missing, but was listed at ") +
+                                       time_text(changed) + "\n");
+        }
+    }
+}
+
+void model_world::run_for(boot_clock::duration time)
+{
+    const auto end = model_now() + time;
     while (model_now() < end && m_violations.size() < m_settings.max_violations)
     {
         m_events.run_until(model_now() + m_settings.step);
@@ -162,6 +204,7 @@
     it.frozen_until = {};
     it.slow_until = {};
     it.next_poll = {};
+    it.started = model_now();
     m_polled = process;
     it.process = std::make_unique<model_process>(it.where, *this);
     it.process->start();
--- a/tests/model/model_world.hpp
+++ b/tests/model/model_world.hpp
@@ -38,7 +38,8 @@
     model_world(const model_world&) = delete;
     model_world& operator=(const model_world&) = delete;
 
-    /// @brief Plays until the time is over or enough rules were broken.
+    /// @brief Plays until the time is over or enough rules were broken. Then all conditions are
+    /// good again, and after some seconds each process must know the workers that the store lists.
     void run();
 
     [[nodiscard]] const std::vector<std::string>& violations() const { return m_violations; }
@@ -85,9 +86,12 @@
         instant next_poll{};
         instant frozen_until{};
         instant slow_until{};
+        instant started{};
     };
 
+    void run_for(boot_clock::duration time);
     void poll_all();
+    void check_views();
     void take_log_line(const std::string& text);
     [[nodiscard]] bool is_excused(std::size_t process, std::size_t worker) const;
     void move_hot_keys();
@@ -102,6 +106,7 @@
     worker_fleet m_fleet;
     std::vector<place> m_places;
     std::map<std::string, std::size_t, std::less<>> m_addresses; ///< index by address
+    std::map<std::string, instant> m_changed;                    ///< last change of an entry, by id
     std::vector<std::string> m_violations;
     std::size_t m_polled{}; ///< process that runs now
     std::uint32_t m_hot_first{};
--- a/tests/model/worker_fleet.cpp
+++ b/tests/model/worker_fleet.cpp
@@ -81,7 +81,8 @@
 
 std::string worker_fleet::own_address(std::size_t worker)
 {
-    return "worker-" + std::to_string(worker);
+    constexpr std::size_t ips = 250;
+    return "10.1." + std::to_string(worker / ips) + "." + std::to_string(worker % ips) + ":80";
 }
 
 std::string worker_fleet::name(life_number number) const
@@ -114,7 +115,7 @@
     next.entry.service = model_service;
     next.entry.address = address.empty() ? own_address(worker) : address;
     if (at_address(next.entry.address))
-        next.entry.address = "spare-" + std::to_string(m_lives.size());
+        next.entry.address = own_address(m_running.size() + m_lives.size());
     next.entry.zone = "z" + std::to_string(worker % zones);
     next.entry.slots = slots;
     next.slowness = m_random.is(0.5) ? max_slowness : m_random.between(0, max_slowness);
--- a/tests/soak/drain_faults.cpp
+++ b/tests/soak/drain_faults.cpp
@@ -1,4 +1,5 @@
 /// Faults of the soak: workers that leave, or want no requests for some time, by their answers.
+#include "soak_config.hpp"
 #include "soak_world.hpp"
 
 #include <array>
@@ -38,6 +39,25 @@
     --m_faults_running;
 }
 
+/// Another writer puts entries among those of the workers.
+asio::awaitable<void> soak_world::write_foreign_entries()
+{
+    const auto describe = [](const worker& item)
+    {
+        return named_worker{item.id, soak_ip + (":" + std::to_string(item.port + 1)),
+                            item.is_sharded ? "keys" : "plain"};
+    };
+    ++m_faults_running;
+    for (std::size_t n = 0; m_drains; ++n)
+    {
+        co_await delay(m_foreign_writer.next_pause());
+        const auto& victim = m_workers[n % m_workers.size()];
+        const auto& other = m_workers[(n / 2 + 1) % m_workers.size()];
+        log_fault(co_await m_foreign_writer.write(describe(victim), describe(other)));
+    }
+    --m_faults_running;
+}
+
 /// One worker after the other turns requests away and names a time, or something else.
 asio::awaitable<void> soak_world::let_workers_turn_away()
 {
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -90,6 +90,7 @@
     , m_sizes(sizes)
     , m_store_port(next_port())
     , m_store_control(context.get_executor(), address(m_store_port))
+    , m_foreign_writer(m_store_control, seed)
     , m_holds(m_folder)
 {
     std::filesystem::remove_all(m_folder);
@@ -579,6 +580,7 @@
     asio::co_spawn(m_context, play_faulty_answers(), asio::detached);
     asio::co_spawn(m_context, let_workers_leave(), asio::detached);
     asio::co_spawn(m_context, let_workers_turn_away(), asio::detached);
+    asio::co_spawn(m_context, write_foreign_entries(), asio::detached);
     const auto deadline = boot_clock::now() + fault_time;
     while (boot_clock::now() < deadline)
     {
@@ -629,6 +631,9 @@
         good += result.status == 200 ? 1 : 0;
         m_results.push_back(std::move(result));
     }
+    for (const auto& item : m_routers)
+        if (!item.process->is_running())
+            violations.push_back("router " + item.name + " has ended by itself");
     if (good < min_served)
         violations.push_back("recovery: " + std::to_string(good) + " of " +
                              std::to_string(requests) + " served after all faults have ended");
--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -4,6 +4,7 @@
 #include "child_process.hpp"
 #include "drain_check.hpp"
 #include "fault_proxy.hpp"
+#include "foreign_writer.hpp"
 #include "hold_watch.hpp"
 #include "late_caller.hpp"
 #include "limit_check.hpp"
@@ -99,6 +100,7 @@
     boost::asio::awaitable<void> call_worker(std::uint16_t port, std::string target);
     boost::asio::awaitable<void> let_workers_leave();
     boost::asio::awaitable<void> let_workers_turn_away();
+    boost::asio::awaitable<void> write_foreign_entries();
     boost::asio::awaitable<void> delay(millis time);
     boost::asio::awaitable<void> check_recovery(std::vector<std::string>& violations);
     [[nodiscard]] const char* any_harm();
@@ -124,6 +126,7 @@
     std::uint16_t m_store_port;
     std::optional<harness::child_process> m_store;
     store_control m_store_control;
+    foreign_writer m_foreign_writer;
     std::vector<router> m_routers;
     std::vector<worker> m_workers;
     std::vector<client_result> m_results;
--- a/tests/src/session-store_cut.cpp
+++ b/tests/src/session-store_cut.cpp
@@ -1,5 +1,6 @@
 /// Removals of workers after a process was cut off from the store, or after an outage of the store.
 /// The reading task runs against a store in memory, in real time.
+#include <eelgrassrail/core/exception.hpp>
 #include <eelgrassrail/router/router_state.hpp>
 #include <eelgrassrail/router/stream_reader.hpp>
 
@@ -10,8 +11,10 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <eelgrassrail_platform/wire_names.hpp>
 #include <exception>
+#include <map>
 #include <span>
 #include <string>
 #include <vector>
@@ -31,11 +34,16 @@
     {
         m_records.push_back({m_records.size(), id, is_listed ? "listed" : ""});
     }
+    void put_unreadable(const std::string& id)
+    {
+        m_records.push_back({m_records.size(), id, "unreadable"});
+    }
+    void delete_history() { m_first = m_records.size(); }
 
     platform_calls calls()
     {
         platform_calls result;
-        result.newest = [this](platform_stream stream) { return read(stream, 0); };
+        result.newest = [this](platform_stream stream) { return list(stream); };
         result.read = [this](platform_stream stream, std::uint64_t from, millis)
         { return read(stream, from); };
         result.decode_worker = [](const stream_record& record)
@@ -46,6 +54,10 @@
             change.is_removed = record.value.empty();
             change.entry.life = {record.key, 1};
             change.entry.service = "s";
+            change.entry.zone = "z";
+            change.entry.address = "10.0.0.1:80";
+            if (record.value == "unreadable")
+                throw platform_error(303, "worker entry");
             return change;
         };
         return result;
@@ -59,13 +71,35 @@
         if (is_cut || stream != platform_stream::workers)
             co_return std::nullopt;
         stream_page page;
-        const auto records = std::span(m_records).subspan(from);
+        page.has_gap = from < m_first;
+        if (page.has_gap)
+            co_return page;
+        const auto records = std::span(m_records).subspan(
+            from, std::min<std::size_t>(max_page_records, m_records.size() - from));
         page.records.assign(records.begin(), records.end());
+        page.end = from + records.size();
+        co_return page;
+    }
+
+    asio::awaitable<std::optional<stream_page>> list(platform_stream stream)
+    {
+        if (is_cut || stream != platform_stream::workers)
+            co_return std::nullopt;
+        std::map<std::string, stream_record> newest;
+        for (const auto& record : m_records)
+            newest[record.key] = record;
+        stream_page page;
+        for (const auto& [key, record] : newest)
+            if (!record.value.empty())
+                page.records.push_back(record);
         page.end = m_records.size();
         co_return page;
     }
 
+    static constexpr std::size_t max_page_records = 2;
+
     std::vector<stream_record> m_records;
+    std::uint64_t m_first{};
 };
 
 router_settings make_settings()
@@ -138,6 +172,8 @@
     CPPUNIT_TEST(a_removal_after_a_short_cut_is_in_force_in_time);
     CPPUNIT_TEST(a_removal_after_a_cut_of_this_process_is_in_force_in_time);
     CPPUNIT_TEST(an_entry_that_lapsed_in_an_outage_is_kept);
+    CPPUNIT_TEST(entries_that_can_not_be_read_do_not_stop_reading);
+    CPPUNIT_TEST(an_entry_of_another_writer_does_not_remove_a_worker);
     CPPUNIT_TEST_SUITE_END();
 
     /// A removed worker must get no requests after this time.
@@ -178,7 +214,57 @@
         it.run(lapse_in_outage(it));
     }
 
+    /// Guards against a reader that stays at records which are no entries, and misses those after
+    /// them: they fill a page.
+    void entries_that_can_not_be_read_do_not_stop_reading()
+    {
+        reading_process it;
+        it.run(read_past_unreadable(it));
+    }
+
+    /// Guards against a worker that is taken for removed, since the store has deleted its entry and
+    /// kept the newest one under its id, of another writer.
+    void an_entry_of_another_writer_does_not_remove_a_worker()
+    {
+        reading_process it;
+        it.run(overwrite_entry(it));
+    }
+
   private:
+    static asio::awaitable<void> read_past_unreadable(reading_process& it)
+    {
+        constexpr int entries = 4;
+        constexpr millis three_reads{1'600};
+        co_await it.delay(reading_process::settle_time);
+        for (int n = 0; n < entries; ++n)
+            it.store.put_unreadable("x" + std::to_string(n));
+        it.store.put("b", true);
+        co_await it.delay(three_reads);
+        CPPUNIT_ASSERT(it.state.workers.find("b") != nullptr);
+    }
+
+    static asio::awaitable<void> overwrite_entry(reading_process& it)
+    {
+        constexpr millis until_written{800}; // less than a report interval
+        co_await it.delay(reading_process::settle_time);
+        it.store.put_unreadable("a");
+        it.store.delete_history();
+        const auto until = boot_clock::now() + until_written;
+        while (boot_clock::now() < until)
+        {
+            CPPUNIT_ASSERT(it.is_listed());
+            co_await it.delay(millis(50));
+        }
+        it.store.put("a", true);
+        co_await it.delay(drain);
+        CPPUNIT_ASSERT(it.is_listed());
+        // One that does not write its entry again was removed before.
+        it.store.put_unreadable("a");
+        it.store.delete_history();
+        co_await it.delay(drain);
+        CPPUNIT_ASSERT(!it.is_listed());
+    }
+
     static asio::awaitable<void> remove_after_cut(reading_process& it, millis cut)
     {
         constexpr millis after_cut{400};
--- a/tests/src/unit-platform.cpp
+++ b/tests/src/unit-platform.cpp
@@ -1,12 +1,15 @@
 /// Tests of the platform adapter: documents it decodes and encodes, and the error ids of malformed
 /// ones.
 #include <eelgrassrail/core/exception.hpp>
+#include <eelgrassrail/router/entry_check.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <eelgrassrail_platform/decode.hpp>
 #include <eelgrassrail_platform/wire_names.hpp>
 #include <random>
+#include <string_view>
+#include <vector>
 
 using namespace eelgrassrail;
 
@@ -68,7 +71,11 @@
     CPPUNIT_TEST(a_desired_state_without_a_needed_field_is_refused);
     CPPUNIT_TEST(a_worker_entry_is_read);
     CPPUNIT_TEST(foreign_entries_are_refused);
+    CPPUNIT_TEST(odd_entries_are_refused);
+    CPPUNIT_TEST(an_entry_has_a_callable_address_and_names);
     CPPUNIT_TEST(records_are_read);
+    CPPUNIT_TEST(a_malformed_record_hides_no_other);
+    CPPUNIT_TEST(a_key_that_is_not_text_hides_no_other);
     CPPUNIT_TEST(torn_records_are_refused);
     CPPUNIT_TEST(newest_records_are_read);
     CPPUNIT_TEST(mutated_documents_never_crash);
@@ -130,6 +137,99 @@
                                           }));
     }
 
+    /// Guards against entries that end the process, or are read as something else than they say:
+    /// very deeply nested, with numbers too large, with fields missing or of another type.
+    void odd_entries_are_refused()
+    {
+        constexpr std::size_t deep = 100'000;
+        const auto with = [](std::string_view part, std::string_view other)
+        {
+            std::string text = entry_text;
+            CPPUNIT_ASSERT(text.find(part) != std::string::npos);
+            return text.replace(text.find(part), part.size(), other);
+        };
+        const std::vector<std::string> texts{
+            std::string(deep, '['),
+            with(R"("slots":3)", R"("slots":)" + std::string(deep, '[')),
+            with(R"("slots":3)", R"("slots":1e300)"),
+            with(R"("slots":3)", R"("slots":4294967296)"),
+            with(R"("slots":3)", R"("slots":-1)"),
+            with(R"("slots":3)", R"("slots":"3")"),
+            with("1700000000000", "1e300"),
+            with("1700000000000", "18446744073709551616"),
+            with("1700000000000", "0.5"),
+            with(R"("seq":4)", R"("seq":"4")"),
+            with(R"("seq":4,)", ""),
+            with(R"("version":"v1",)", ""),
+            with(R"("cold_remaining":"1.5s",)", ""),
+            with("1.5s", "1e300s"),
+            with("1.5s", "-1ms")};
+        for (const auto& text : texts)
+        {
+            const auto id = error_id_of([&] { return platform::decode_worker({1, "x", text}); });
+            CPPUNIT_ASSERT_MESSAGE(text.substr(0, 200), id == 301 || id == 303);
+        }
+    }
+
+    /// Guards against entries that are well formed but can not be of a worker: requests to an id
+    /// with a line break would be malformed, and a port out of range can not be called.
+    void an_entry_has_a_callable_address_and_names()
+    {
+        constexpr std::size_t long_bytes = 60'000;
+        const auto entry = platform::decode_worker({7, "i-1", entry_text}).entry;
+        CPPUNIT_ASSERT_EQUAL(std::string(), find_defect(entry));
+        for (const auto& address :
+             {std::string("10.0.0.1:70000"), std::string("10.0.0.1:0"), std::string("10.0.0.1"),
+              std::string("10.0.0.1:80 "), std::string("nowhere:80"), std::string(),
+              std::string(long_bytes, '1') + ":80"})
+        {
+            auto odd = entry;
+            odd.address = address;
+            CPPUNIT_ASSERT(!find_defect(odd).empty());
+        }
+        for (const auto& name : {std::string(), std::string("a\r\nX: y"), std::string("a b"),
+                                 std::string("\xff"), std::string(long_bytes, 'a')})
+        {
+            auto odd = entry;
+            odd.life.id = name;
+            CPPUNIT_ASSERT(!find_defect(odd).empty());
+            odd = entry;
+            odd.service = name;
+            CPPUNIT_ASSERT(!find_defect(odd).empty());
+            odd = entry;
+            odd.zone = name;
+            CPPUNIT_ASSERT(!find_defect(odd).empty());
+        }
+        auto large = entry;
+        large.slots = 4'000'000'000;
+        CPPUNIT_ASSERT(!find_defect(large).empty());
+        large = entry;
+        large.cold_ms = 4'000'000'000;
+        CPPUNIT_ASSERT(!find_defect(large).empty());
+    }
+
+    /// Guards against a reader that stays in front of a record that some writer has malformed.
+    void a_malformed_record_hides_no_other()
+    {
+        const auto body = big_endian(13, 8) + big_endian(3, 8) + big_endian(0, 4) +
+                          big_endian(3, 4) + "\xffxy" + record_bytes("k", "value");
+        const auto page = platform::decode_records(body, 10);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), page.records.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(12), page.records[0].offset);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(13), page.end);
+    }
+
+    void a_key_that_is_not_text_hides_no_other()
+    {
+        std::string after;
+        const auto page = platform::decode_newest(
+            "{\"items\":[{\"key\":\"\xff\",\"value\":\"YWI=\",\"offset\":4},"
+            "{\"key\":\"k\",\"value\":\"YWI=\",\"offset\":5}],"
+            "\"has_more\":false,\"end_offset\":6}",
+            after);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), page.records.size());
+    }
+
     void records_are_read()
     {
         const auto body = big_endian(12, 8) + big_endian(3, 8) + record_bytes("k", "value") +
