--- a/src/registry/worker_feed.cpp
+++ b/src/registry/worker_feed.cpp
@@ -68,14 +68,14 @@
 
 bool worker_feed::apply_due(instant now)
 {
-    const auto due = std::ranges::partition(m_deferred, [now](const deferred_removal& item)
-                                            { return now < item.due; });
-    if (due.empty())
+    const auto due = std::partition(m_deferred.begin(), m_deferred.end(),
+                                    [now](const deferred_removal& item) { return now < item.due; });
+    if (due == m_deferred.end())
         return false;
     bool has_changed = false;
-    for (const auto& item : due)
-        has_changed = m_workers.apply(item.change, now) || has_changed;
-    m_deferred.erase(due.begin(), due.end());
+    for (auto it = due; it != m_deferred.end(); ++it)
+        has_changed = m_workers.apply(it->change, now) || has_changed;
+    m_deferred.erase(due, m_deferred.end());
     advance();
     return has_changed;
 }
--- a/tests/src/unit-faulty_workers.cpp
+++ b/tests/src/unit-faulty_workers.cpp
@@ -483,6 +483,7 @@
         auto& named = cluster.add_worker(false, [](const byte_request& it)
                                          { return refuses(other_worker, it.attempt); });
         std::vector<std::string> attempts;
+        attempts.reserve(requests);
         for (int n = 0; n < requests; ++n)
             attempts.push_back("a" + std::to_string(n));
         const auto replies = cluster.run("/book/x", attempts);
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -61,6 +61,8 @@
   check "model of key ownership, 12 processes" build/ownership_model --seeds=30 --seconds=60 --brief
   check "model of key ownership, claims without an answer" build/ownership_model --seeds=60 --seconds=60 --brief \
     --only=lost_answers,late_appends,kill_coordinator,strike_claimer,freeze_coordinator
+  check "model of the workers' entries, 12 processes" build/ownership_model --first_seed=400 --seeds=20 --seconds=60 --brief \
+    --only=foreign_entry,worker_compaction,unlist_workers,kill_process,kill_coordinator,cut_store,blind_coordinator
   check "model of key ownership, 300 processes" build/ownership_model --processes=300 --first_seed=28 --seeds=2 --seconds=50 --brief \
     --only=lost_answers,late_appends,kill_coordinator,strike_claimer,stop_coordinator,slow_store,freeze_coordinator
   check "fault soak, two seeds" build/soak --first_seed=1 --seeds=2
