--- a/include/eelgrassrail/registry/worker_feed.hpp
+++ b/include/eelgrassrail/registry/worker_feed.hpp
@@ -53,8 +53,8 @@
     /// @return whether the registry has changed
     bool apply_due(instant now);
 
-    /// @brief Records that the store has answered a process.
-    /// @param earliest,latest between them; earlier ones than those known change nothing
+    /// @brief Records that the store has answered some process between two instants. An answer from
+    /// before the last known one changes nothing.
     void on_store_answered(instant earliest, instant latest) noexcept;
 
     /// @brief When the deferred removals are due; none: there are no deferred ones.
@@ -91,7 +91,7 @@
     instant m_answered{};       ///< last instant at which the store is known to have answered
     std::uint64_t m_position{}; ///< offset up to which this process has read
     instant m_removals_from{};  ///< removals before this instant are deferred
-    std::vector<deferred_removal> m_deferred; ///< removals that an outage may have caused
+    std::vector<deferred_removal> m_deferred; ///< removals that are not in force yet
 };
 
 } // namespace eelgrassrail
--- a/include/eelgrassrail/router/key_coordinator.hpp
+++ b/include/eelgrassrail/router/key_coordinator.hpp
@@ -72,7 +72,7 @@
     {
         worker_speed speed;
         double failure_rate{};
-        std::uint64_t called_born_ms{}; ///< incarnation that the next two members are about
+        std::uint64_t called_born_ms{}; ///< incarnation that the next three members are about
         instant last_answer{};          ///< last answer to a grant or release; none: no answer yet
         instant other_answered{}; ///< when a worker with another id last answered at its address
         std::size_t consecutive_refusals{};   ///< consecutive connections that it refused
--- a/src/router/coordinator_updates.cpp
+++ b/src/router/coordinator_updates.cpp
@@ -173,6 +173,9 @@
         for (const auto key : sample.keys)
             load.add(key);
     }
+    // The store may answer others while this process is cut off from it.
+    if (const auto read_at = now - millis(report.age_ms); !(report.freshest == m_state.self))
+        m_state.feed.on_store_answered(read_at, read_at);
     fetch_fresher_copy(report, now);
     for (const auto& crash : report.crashes)
         m_crashes.emplace_back(now, crash);
@@ -203,9 +206,6 @@
 /// read the store.
 void key_coordinator::fetch_fresher_copy(const entry_report& report, instant now)
 {
-    const auto read_at = now - millis(report.age_ms);
-    if (!(report.freshest == m_state.self))
-        m_state.feed.on_store_answered(read_at, read_at);
     const bool is_newer = m_state.routes && report.routes_version > m_state.routes->version;
     const bool is_fresher = m_state.age_ms(now) > stale_age.count() &&
                             report.age_ms + stale_age.count() / 2 < m_state.age_ms(now);
--- a/tests/src/session-store_cut.cpp
+++ b/tests/src/session-store_cut.cpp
@@ -12,6 +12,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <eelgrassrail_platform/decode.hpp>
 #include <eelgrassrail_platform/wire_names.hpp>
 #include <exception>
 #include <map>
@@ -34,15 +35,18 @@
     {
         m_records.push_back({m_records.size(), id, is_listed ? "listed" : ""});
     }
-    void put_unreadable(const std::string& id)
+    /// @param value as the decoder below understands it
+    void put_entry(const std::string& id, const std::string& value)
     {
-        m_records.push_back({m_records.size(), id, "unreadable"});
+        m_records.push_back({m_records.size(), id, value});
     }
+    void put_unreadable(const std::string& id) { put_entry(id, "unreadable"); }
     void delete_history() { m_first = m_records.size(); }
 
     platform_calls calls()
     {
         platform_calls result;
+        result.decode_routes = platform::decode_routes;
         result.newest = [this](platform_stream stream) { return list(stream); };
         result.read = [this](platform_stream stream, std::uint64_t from, millis)
         { return read(stream, from); };
@@ -56,6 +60,10 @@
             change.entry.service = "s";
             change.entry.zone = "z";
             change.entry.address = "10.0.0.1:80";
+            if (record.value == "address")
+                change.entry.address = "nowhere";
+            if (record.value == "service")
+                change.entry.service = "later";
             if (record.value == "unreadable")
                 throw platform_error(303, "worker entry");
             return change;
@@ -174,6 +182,7 @@
     CPPUNIT_TEST(an_entry_that_lapsed_in_an_outage_is_kept);
     CPPUNIT_TEST(entries_that_can_not_be_read_do_not_stop_reading);
     CPPUNIT_TEST(an_entry_of_another_writer_does_not_remove_a_worker);
+    CPPUNIT_TEST(an_entry_that_is_no_workers_is_not_used);
     CPPUNIT_TEST_SUITE_END();
 
     /// A removed worker must get no requests after this time.
@@ -230,7 +239,41 @@
         it.run(overwrite_entry(it));
     }
 
+    /// Guards against entries without a callable address, or of a service that no desired state
+    /// names, under an id of their own or that of a worker. A later desired state may name the
+    /// service.
+    void an_entry_that_is_no_workers_is_not_used()
+    {
+        reading_process it;
+        it.run(read_foreign(it));
+    }
+
   private:
+    static std::string routes(int version, const std::string& services)
+    {
+        return R"({"version":"r)" + std::to_string(version) +
+               R"(","limits":{},"listeners":[],"clusters":[)" + services + "]}";
+    }
+
+    static asio::awaitable<void> read_foreign(reading_process& it)
+    {
+        it.state.apply_routes(routes(1, R"({"name":"s"})"));
+        co_await it.delay(reading_process::settle_time);
+        it.store.put_entry("x", "address");
+        it.store.put_entry("y", "service");
+        co_await it.delay(reading_process::settle_time);
+        it.store.put_entry("a", "address");
+        it.store.put_entry("a", "service");
+        co_await it.delay(reading_process::settle_time);
+        CPPUNIT_ASSERT(it.state.workers.find("x") == nullptr);
+        CPPUNIT_ASSERT(it.state.workers.find("y") == nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), it.state.workers.ready("s").size());
+        it.state.apply_routes(routes(2, R"({"name":"s"},{"name":"later"})"));
+        co_await it.delay(reading_process::settle_time);
+        CPPUNIT_ASSERT(it.state.workers.find("x") == nullptr);
+        CPPUNIT_ASSERT(it.state.workers.find("y") != nullptr);
+    }
+
     static asio::awaitable<void> read_past_unreadable(reading_process& it)
     {
         constexpr int entries = 4;
