Ownership: whoever refuses a release is another process

Cause, from a trace of the releases: the worker at the address is of a service without keys and answers 400, not 421; and the coordinator had changed, so that no accepted grant was known. 27 to 30 moves ended as "expired" after 19 s.

Change: a worker that holds keys never refuses a release, so 421, 400 and 404 prove another process. A coordinator without an accepted grant uses the address of the worker's own entry, once that has stood for two report intervals and no entry has named another one for this incarnation.

--- a/include/eelgrassrail/grants/grant_table.hpp
+++ b/include/eelgrassrail/grants/grant_table.hpp
@@ -5,9 +5,9 @@
 /// duration, extended by the drift of the worker's clock. It holds nothing after that time, after a
 /// release was answered, or after its process is known to have ended.
 ///
-/// Only a process itself proves that another one has ended: it answers under another id at the
-/// address where that one has accepted a grant. Entries prove nothing, since anyone may write them,
-/// and neither do refused connections, since network partitions refuse them too.
+/// Only a process itself proves that another one has ended: it answers for another worker at the
+/// address of that one. Entries alone prove nothing, since anyone may write them, and neither do
+/// refused connections, since network partitions refuse them too.
 #pragma once
 
 #include <eelgrassrail/core/clock.hpp>
@@ -49,8 +49,11 @@
 
     /// @brief Records that a process with another id has answered at an address. The process of the
     /// incarnation has ended if that is the address at which it last accepted a grant.
+    /// @param is_registered_there the address is also that of its own entry beyond doubt, which
+    /// counts while it has accepted no grant of this coordinator
     /// @return whether it has ended
-    bool on_answer_of_another(const worker_incarnation& worker, const std::string& address);
+    bool on_answer_of_another(const worker_incarnation& worker, const std::string& address,
+                              bool is_registered_there);
 
     /// @brief Whether the process of this incarnation is known to have ended.
     [[nodiscard]] bool has_ended(const worker_incarnation& worker) const;
--- a/include/eelgrassrail/registry/worker_registry.hpp
+++ b/include/eelgrassrail/registry/worker_registry.hpp
@@ -23,6 +23,8 @@
     std::uint64_t revision{}; ///< registry revision of the newest change other than of `cold_ms`
     instant changed{};        ///< when this process applied the newest change
     bool is_listed{};         ///< false: the entry was removed
+    instant address_since{};  ///< when this process first knew the address of this incarnation
+    bool has_other_address{}; ///< entries have named several addresses for this incarnation
     instant leaving_since{}; ///< when its answers said so, whatever `entry` says; none: they do not
 
     /// @brief Whether the worker accepts new requests.
@@ -31,6 +33,14 @@
         return is_listed && !entry.is_leaving && leaving_since == instant{};
     }
 
+    /// @brief Whether the entry is the worker's own beyond doubt: a worker would have replaced one
+    /// of another writer by now.
+    /// @param time longer than the interval at which workers renew their entries
+    [[nodiscard]] bool has_settled_address(instant now, millis time) const noexcept
+    {
+        return !has_other_address && now >= address_since + time;
+    }
+
     /// @brief Whether the worker is still warming up.
     [[nodiscard]] bool is_cold(instant now) const noexcept
     {
--- a/include/eelgrassrail/router/key_coordinator.hpp
+++ b/include/eelgrassrail/router/key_coordinator.hpp
@@ -159,6 +159,8 @@
     [[nodiscard]] bool holds_role() const;
     [[nodiscard]] ownership_record make_record(const service_maps& owners, instant now) const;
     [[nodiscard]] bool is_current(const key_move& move) const;
+    [[nodiscard]] bool is_registered_at(const worker_incarnation& worker,
+                                        const std::string& address) const;
     [[nodiscard]] bool is_unchanged(const std::string& service, const key_slice& slice) const;
     [[nodiscard]] std::vector<key_worker> eligible_workers(const std::string& service, instant now);
     [[nodiscard]] coordinator_evidence evidence(instant now) const;
--- a/src/grants/grant_table.cpp
+++ b/src/grants/grant_table.cpp
@@ -29,10 +29,13 @@
     m_addresses[worker] = address;
 }
 
-bool grant_table::on_answer_of_another(const worker_incarnation& worker, const std::string& address)
+bool grant_table::on_answer_of_another(const worker_incarnation& worker, const std::string& address,
+                                       bool is_registered_there)
 {
     const auto it = m_addresses.find(worker);
-    if (it != m_addresses.end() && it->second == address)
+    const bool is_its_address =
+        it != m_addresses.end() ? it->second == address : is_registered_there;
+    if (is_its_address)
         m_ended.insert(worker);
     return has_ended(worker);
 }
--- a/src/registry/worker_registry.cpp
+++ b/src/registry/worker_registry.cpp
@@ -36,6 +36,12 @@
             known.changed = now;
         return was_listed;
     }
+    const bool is_other_life = is_new || known.entry.life != change.entry.life;
+    if (is_other_life || known.entry.address != change.entry.address)
+    {
+        known.has_other_address = !is_other_life;
+        known.address_since = now;
+    }
     auto previous = known.entry;
     previous.cold_ms = change.entry.cold_ms;
     const bool is_changed = !was_listed || !(previous == change.entry);
--- a/src/router/key_moves.cpp
+++ b/src/router/key_moves.cpp
@@ -38,6 +38,15 @@
 
 constexpr unsigned status_ok = 200;
 
+/// Whether an answer to a release is of a process that can not hold the keys: a worker that holds
+/// some never refuses to release them. A worker of a service without keys answers 400.
+bool refuses_releases(unsigned status)
+{
+    constexpr unsigned bad_request = 400;
+    constexpr unsigned not_found = 404;
+    return status == other_worker_status || status == bad_request || status == not_found;
+}
+
 std::string range_text(const key_slice& slice)
 {
     return std::to_string(slice.first) + "-" + std::to_string(slice.last);
@@ -216,6 +225,15 @@
     schedule_push();
 }
 
+/// Whether an address is beyond doubt that of the entry of a worker.
+bool key_coordinator::is_registered_at(const worker_incarnation& worker,
+                                       const std::string& address) const
+{
+    const auto* known = m_state.workers.find(worker.id);
+    return known != nullptr && known->entry.life == worker && known->entry.address == address &&
+           known->has_settled_address(boot_clock::now(), 2 * m_state.settings.worker_heartbeat);
+}
+
 /// Releases the keys at the previous owner, or waits until its lease has expired.
 asio::awaitable<key_coordinator::released_source>
 key_coordinator::release_source(const key_move& move)
@@ -245,8 +263,9 @@
             entry, m_state.format.release(release), release_timeout,
             [this, &move](instant at) { return is_current(move) && may_grant(at); });
         const bool is_answered = exchange.result == exchange_result::complete;
-        if (is_answered && exchange.reply.status == other_worker_status &&
-            m_grants.on_answer_of_another(source, entry.address))
+        if (is_answered && refuses_releases(exchange.reply.status) &&
+            m_grants.on_answer_of_another(source, entry.address,
+                                          is_registered_at(source, entry.address)))
         {
             m_state.counters.count("key_owners_replaced");
             result.why = "replaced";
@@ -259,6 +278,11 @@
             result.why = "released";
             break;
         }
+        log_debug(log_part::ownership,
+                  "release refused worker=" + source.id + " keys=" + range_text(move.slice) +
+                      " status=" + std::to_string(is_answered ? exchange.reply.status : 0) +
+                      " refused=" + std::to_string(exchange.refused ? 1 : 0) + " registered=" +
+                      std::to_string(is_registered_at(source, entry.address) ? 1 : 0));
         co_await delay(retry_backoff);
     }
     co_return result;
--- a/tests/src/session-ownership.cpp
+++ b/tests/src/session-ownership.cpp
@@ -50,14 +50,15 @@
     }
 
     /// Starts and registers a worker.
-    std::unique_ptr<worker_standin> start_worker(const std::string& id, const std::string& at)
+    std::unique_ptr<worker_standin> start_worker(const std::string& id, const std::string& at,
+                                                 bool is_sharded = true)
     {
         worker_settings settings;
         settings.id = id;
         settings.address = at;
         settings.service = "keys";
         settings.zone = "z1";
-        settings.is_sharded = true;
+        settings.is_sharded = is_sharded;
         settings.start_time_ms = 1;
         settings.holds = &holds;
         auto started = std::make_unique<worker_standin>(context, settings);
@@ -178,6 +179,7 @@
     CPPUNIT_TEST(a_restart_on_a_record_of_the_version_before_serves_at_once);
     CPPUNIT_TEST(an_entry_at_its_address_does_not_end_a_worker);
     CPPUNIT_TEST(another_process_at_its_address_ends_a_worker);
+    CPPUNIT_TEST(a_process_without_keys_at_its_address_ends_a_worker);
     CPPUNIT_TEST(an_entry_under_its_id_does_not_end_a_worker);
     CPPUNIT_TEST_SUITE_END();
 
@@ -241,20 +243,26 @@
 
     /// Guards against keys that wait for a lease of a process that has ended: another one answers
     /// at its address.
-    void another_process_at_its_address_ends_a_worker()
+    void another_process_at_its_address_ends_a_worker() { replace_process(true); }
+
+    /// As above, if the other process is of a service without keys: it does not look at the id in a
+    /// release, but refuses it.
+    void a_process_without_keys_at_its_address_ends_a_worker() { replace_process(false); }
+
+    static void replace_process(bool is_sharded)
     {
         claim_cluster cluster;
         cluster.put_record(claim_cluster::address(52), {0, key_count - 1, {"k0", 1}, true, {}, {}});
         auto owner = cluster.start_worker("k0", claim_cluster::address(2));
         cluster.start_router();
-        cluster.run(replace_entry(cluster,
-                                  [&]
-                                  {
-                                      owner.reset();
-                                      owner = cluster.start_worker("x", claim_cluster::address(2));
-                                      cluster.put_entry("x", 900, claim_cluster::address(2),
-                                                        "other");
-                                  }));
+        cluster.run(replace_entry(
+            cluster,
+            [&]
+            {
+                owner.reset();
+                owner = cluster.start_worker("x", claim_cluster::address(2), is_sharded);
+                cluster.put_entry("x", 900, claim_cluster::address(2), "other");
+            }));
         CPPUNIT_ASSERT_EQUAL(std::string(), check_holds(cluster.holds));
         CPPUNIT_ASSERT(has_event(cluster.holds, "k1", hold_kind::grant));
     }
--- a/tests/src/unit-keys.cpp
+++ b/tests/src/unit-keys.cpp
@@ -280,7 +280,7 @@
         grant_table grants({millis(1'000), millis(0), 0, millis(0)});
         grants.on_grant_sent(incarnation_of("a"), start_time);
         grants.on_grant_accepted(incarnation_of("a"), "10.0.0.1:80");
-        CPPUNIT_ASSERT(grants.on_answer_of_another(incarnation_of("a"), "10.0.0.1:80"));
+        CPPUNIT_ASSERT(grants.on_answer_of_another(incarnation_of("a"), "10.0.0.1:80", false));
         CPPUNIT_ASSERT(!grants.may_hold(incarnation_of("a"), start_time));
     }
 
@@ -290,11 +290,13 @@
     {
         grant_table grants({millis(1'000), millis(0), 0, millis(0)});
         grants.on_grant_sent(incarnation_of("a"), start_time);
-        CPPUNIT_ASSERT(!grants.on_answer_of_another(incarnation_of("a"), "10.0.0.1:80"));
+        CPPUNIT_ASSERT(!grants.on_answer_of_another(incarnation_of("a"), "10.0.0.1:80", false));
         grants.on_grant_accepted(incarnation_of("a"), "10.0.0.1:80");
-        CPPUNIT_ASSERT(!grants.on_answer_of_another(incarnation_of("a"), "10.0.0.2:80"));
-        CPPUNIT_ASSERT(!grants.on_answer_of_another(incarnation_of("a", 2), "10.0.0.1:80"));
+        CPPUNIT_ASSERT(!grants.on_answer_of_another(incarnation_of("a"), "10.0.0.2:80", true));
+        CPPUNIT_ASSERT(!grants.on_answer_of_another(incarnation_of("a", 2), "10.0.0.1:80", false));
         CPPUNIT_ASSERT(grants.may_hold(incarnation_of("a"), start_time));
+        grants.on_grant_sent(incarnation_of("b"), start_time); // by the coordinator before
+        CPPUNIT_ASSERT(grants.on_answer_of_another(incarnation_of("b"), "10.0.0.3:80", true));
     }
 
     void holds_never_get_shorter()
--- a/tests/src/unit-routing.cpp
+++ b/tests/src/unit-routing.cpp
@@ -109,6 +109,7 @@
     CPPUNIT_TEST(the_newest_entry_counts_in_any_order);
     CPPUNIT_TEST(the_end_is_where_reading_goes_on);
     CPPUNIT_TEST(a_heartbeat_is_no_news);
+    CPPUNIT_TEST(an_address_settles_unless_entries_name_others);
     CPPUNIT_TEST(a_listing_removes_what_it_lacks);
     CPPUNIT_TEST(a_removal_from_a_listing_is_newer_than_the_entry);
     CPPUNIT_TEST(an_older_listing_adds_no_removed_worker);
@@ -318,6 +319,27 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), workers.ready("s").size());
     }
 
+    /// Guards against taking the address of an entry of another writer, under a worker's id and
+    /// start, for that of the worker.
+    void an_address_settles_unless_entries_name_others()
+    {
+        constexpr millis time{2'000};
+        worker_registry workers;
+        workers.apply(entry("a", 1), start_time);
+        CPPUNIT_ASSERT(!workers.find("a")->has_settled_address(start_time + millis(1'999), time));
+        workers.apply(entry("a", 2), start_time + time);
+        CPPUNIT_ASSERT(workers.find("a")->has_settled_address(start_time + time, time));
+        auto other = entry("a", 3);
+        other.entry.address = "10.9.9.9:1";
+        workers.apply(other, start_time);
+        workers.apply(entry("a", 4), start_time);
+        CPPUNIT_ASSERT(!workers.find("a")->has_settled_address(start_time + 5 * time, time));
+        other = entry("a", 5);
+        other.entry.life.born_ms += 1;
+        workers.apply(other, start_time);
+        CPPUNIT_ASSERT(workers.find("a")->has_settled_address(start_time + time, time));
+    }
+
     void a_listing_removes_what_it_lacks()
     {
         worker_registry workers;
--- a/tests/standins/worker_standin.cpp
+++ b/tests/standins/worker_standin.cpp
@@ -152,6 +152,13 @@
 asio::awaitable<http_reply> worker_standin::serve(http_call call)
 {
     const auto path = path_of(call.target);
+    // A worker of a service without keys knows no grants.
+    if (!m_settings.is_sharded && path.starts_with("/api/"))
+    {
+        http_reply reply;
+        reply.status = 400;
+        co_return reply;
+    }
     const auto expected = find_field(call.fields, "Eelgrassrail-Expect-Instance");
     if (expected && *expected != m_settings.id)
         co_return not_executed(421);
