Quarantine: crashes reach the coordinator itself and processes that start later

The age keeps repeated reports from prolonging a refusal. Ruled out: a field in the state copy, which earlier builds would reject as a whole.

--- a/include/eelgrassrail/router/coordinator_channels.hpp
+++ b/include/eelgrassrail/router/coordinator_channels.hpp
@@ -3,6 +3,7 @@
 
 #include <eelgrassrail/http/client.hpp>
 #include <eelgrassrail/registry/worker_entry.hpp>
+#include <eelgrassrail/router/crash_message.hpp>
 #include <eelgrassrail/router/leaving_message.hpp>
 #include <eelgrassrail/router/peer_link.hpp>
 #include <eelgrassrail/router/permit_message.hpp>
@@ -36,6 +37,9 @@
     /// Sends the leaving workers to many processes. It may be lost.
     std::function<void(std::span<const relay_part<std::string>>, const leaving_update&)>
         announce_leaving;
+    /// Sends the crashes that count to many processes. It may be lost.
+    std::function<void(std::span<const relay_part<std::string>>, const crash_update&)>
+        announce_crashes;
 };
 
 /// @brief Channels over the network. Both arguments have to outlive the result.
--- a/include/eelgrassrail/router/key_coordinator.hpp
+++ b/include/eelgrassrail/router/key_coordinator.hpp
@@ -56,6 +56,9 @@
     /// notifies all processes; does nothing while this process is not active.
     void handle_leaving(std::span<const worker_incarnation> workers, instant now);
 
+    /// @brief Applies crashes that processes report, this one included, and announces them.
+    void handle_crashes(std::span<const crash_report> crashes, instant now);
+
     /// @brief Whether this process holds the coordinator role and knows of no successor.
     [[nodiscard]] bool is_active() const noexcept { return m_term.is_active(); }
 
@@ -146,6 +149,7 @@
     permit_decision issue_permit(const permit_request& request, instant now);
     void announce_limits(instant now);
     void announce_leaving(instant now);
+    void announce_crashes(instant now);
     [[nodiscard]] std::vector<cluster_member> live_members(instant now) const;
     [[nodiscard]] cluster_member own_member() const;
     void resume_moves();
@@ -206,6 +210,8 @@
     relay_choice m_limits_tree{relay_choice::gathering};  ///< of the last announcement
     bool m_announces_leaving{};                           ///< with the next push
     relay_choice m_leaving_tree{relay_choice::gathering}; ///< of the last announcement
+    bool m_announces_crashes{};                           ///< with the next push
+    relay_choice m_crashes_tree{relay_choice::gathering}; ///< of the last announcement
 };
 
 } // namespace eelgrassrail
--- a/include/eelgrassrail/router/peer_link.hpp
+++ b/include/eelgrassrail/router/peer_link.hpp
@@ -3,6 +3,7 @@
 
 #include <eelgrassrail/http/client.hpp>
 #include <eelgrassrail/http/listener.hpp>
+#include <eelgrassrail/router/crash_message.hpp>
 #include <eelgrassrail/router/leaving_message.hpp>
 #include <eelgrassrail/router/permit_message.hpp>
 #include <eelgrassrail/router/router_message.hpp>
@@ -45,6 +46,7 @@
     std::function<void(const limit_update&)> on_limit_update;
     std::function<void(const leaving_notice&)> on_leaving_notice;
     std::function<void(const leaving_update&)> on_leaving_update;
+    std::function<void(const crash_update&)> on_crash_update;
 };
 
 /// Owns the UDP socket and the TCP listener of the peer address.
@@ -78,6 +80,9 @@
     void send(const std::string& address, const leaving_notice& message);
     void send(std::span<const relay_part<std::string>> parts, const leaving_update& message);
 
+    /// @brief Sends the crashes that count. It may be lost.
+    void send(std::span<const relay_part<std::string>> parts, const crash_update& message);
+
     /// @brief Fetches a full copy of the state of another process and applies it.
     /// @param address of the process; nothing is fetched if it is empty or this process's own
     /// @param required versions that the other process waits for, for a short time, before it
--- a/include/eelgrassrail/router/request_forwarder.hpp
+++ b/include/eelgrassrail/router/request_forwarder.hpp
@@ -3,7 +3,6 @@
 
 #include <eelgrassrail/core/error_kind.hpp>
 #include <eelgrassrail/http/caller_watch.hpp>
-#include <eelgrassrail/requests/quarantine.hpp>
 #include <eelgrassrail/requests/retry_budget.hpp>
 #include <eelgrassrail/router/permit_client.hpp>
 #include <eelgrassrail/router/router_state.hpp>
@@ -40,9 +39,6 @@
     /// @brief What was observed since the last call, for the coordinator; resets the counts.
     [[nodiscard]] entry_report collect_report();
 
-    /// @brief Adds crash reports of other processes to the quarantine.
-    void apply_crash_reports(const std::vector<crash_report>& crashes, instant now);
-
     /// @brief From now on requests that could be cut by the end of the process are refused.
     void begin_stop(const stop_plan& plan);
 
@@ -88,7 +84,6 @@
     worker_links& m_links;
     permit_client& m_permits;
     split_chooser m_splits;
-    quarantine m_quarantine;
     std::map<std::string, retry_budget, std::less<>> m_budgets;   ///< by service
     std::map<std::string, double, std::less<>> m_typical_ms;      ///< by service; moving average
     std::map<std::string, key_sample, std::less<>> m_key_samples; ///< since the last report
--- a/include/eelgrassrail/router/router_state.hpp
+++ b/include/eelgrassrail/router/router_state.hpp
@@ -5,6 +5,8 @@
 #include <eelgrassrail/limits/limit_table.hpp>
 #include <eelgrassrail/observe/metrics.hpp>
 #include <eelgrassrail/registry/worker_feed.hpp>
+#include <eelgrassrail/requests/quarantine.hpp>
+#include <eelgrassrail/router/crash_message.hpp>
 #include <eelgrassrail/router/change_signal.hpp>
 #include <eelgrassrail/router/platform_calls.hpp>
 #include <eelgrassrail/router/router_message.hpp>
@@ -64,6 +66,9 @@
     /// @brief Marks the workers that the coordinator has announced as leaving.
     void apply_leaving(std::span<const worker_incarnation> announced, instant now);
 
+    /// @brief Applies the crashes that the coordinator has announced.
+    void apply_crashes(std::span<const aged_crash> announced, instant now);
+
     /// @brief A full copy of this state, for another process.
     [[nodiscard]] state_copy make_copy(instant now) const;
     /// @brief An ownership record of the current coordinator and version, with the given owners.
@@ -127,6 +132,7 @@
     std::vector<cluster_member> members;                          ///< live processes in claim order
     std::map<std::string, worker_load, std::less<>> worker_loads; ///< by worker id
     limit_table limits;                                           ///< rate limits that workers name
+    quarantine crashes;                                           ///< of workers, by request
     bool is_leaving{};
     change_signal changed; ///< notified when routes, workers or ownership change
     metrics counters;
--- a/src/router/coordinator_updates.cpp
+++ b/src/router/coordinator_updates.cpp
@@ -100,6 +100,7 @@
         m_state.worker_loads[item.id] = item;
     announce_limits(now);
     announce_leaving(now);
+    announce_crashes(now);
 }
 
 /// The load of the workers that has changed since the last push, and of a share of the others,
@@ -151,7 +152,11 @@
     set_in_flight(sender, report.workers);
     for (const auto& item : report.members)
         if (item.member.address != m_state.self.address && m_members.on_member_report(item, now))
+        {
+            // A process that has just started knows no crashes.
+            m_announces_crashes = true;
             schedule_push();
+        }
     for (const auto& item : report.workers)
     {
         auto& worker = m_workers[item.id];
@@ -177,8 +182,7 @@
     if (const auto read_at = now - millis(report.age_ms); !(report.freshest == m_state.self))
         m_state.feed.on_store_answered(read_at, read_at);
     fetch_fresher_copy(report, now);
-    for (const auto& crash : report.crashes)
-        m_crashes.emplace_back(now, crash);
+    handle_crashes(report.crashes, now);
 }
 
 /// This process and all other live ones, in claim order.
--- a/src/router/peer_link.cpp
+++ b/src/router/peer_link.cpp
@@ -44,7 +44,8 @@
     permit_reply = 'a',
     limit_update = 'l',
     leaving_notice = 'd',
-    leaving_update = 'w'
+    leaving_update = 'w',
+    crash_update = 'c'
 };
 
 /// @brief Decompresses and parses a message.
@@ -146,6 +147,12 @@
           pack(write_message(message)));
 }
 
+void peer_link::send(std::span<const relay_part<std::string>> parts, const crash_update& message)
+{
+    relay(static_cast<char>(datagram_kind::crash_update), parts, false,
+          pack(write_message(message)));
+}
+
 /// Each receiver gets the same packed message after a route of its own.
 void peer_link::relay(char kind, std::span<const relay_part<std::string>> parts, bool gathers,
                       std::string_view packed)
@@ -209,6 +216,7 @@
     case datagram_kind::push:
     case datagram_kind::limit_update:
     case datagram_kind::leaving_update:
+    case datagram_kind::crash_update:
         handle_relayed(bytes.front(), body, from);
         return;
     case datagram_kind::report:
@@ -279,6 +287,14 @@
             m_state.counters.count("datagrams_malformed");
         return;
     }
+    if (kind == static_cast<char>(datagram_kind::crash_update))
+    {
+        if (const auto message = unpack_message<crash_update>(packed))
+            m_handlers.on_crash_update(*message);
+        else
+            m_state.counters.count("datagrams_malformed");
+        return;
+    }
     if (auto message = unpack_message<coordinator_push>(packed))
         m_handlers.on_push(
             {std::move(*message), from, relay_levels(route->receivers.size()), route->gathers});
--- a/src/router/request_forwarder.cpp
+++ b/src/router/request_forwarder.cpp
@@ -105,7 +105,7 @@
     // Refused requests count too: the balancer moves keys by demand, not by served requests.
     count_arrival(request);
     request.admission_sample = std::uniform_real_distribution<double>(0, 1)(m_random);
-    if (m_quarantine.is_refused(request.fingerprint, request.arrived))
+    if (m_state.crashes.is_refused(request.fingerprint, request.arrived))
         co_return refuse(request, error_kind::withheld, 0);
     for (;;)
     {
@@ -396,7 +396,7 @@
     log_warning(log_part::dispatch,
                 "worker " + worker.life.id +
                     " was lost during a run fingerprint=" + std::to_string(fingerprint));
-    m_quarantine.on_server_lost(fingerprint, worker.life.id, boot_clock::now());
+    m_state.crashes.on_server_lost(fingerprint, worker.life.id, boot_clock::now());
     m_crash_reports.push_back({fingerprint, worker.life.id});
 }
 
@@ -481,10 +481,4 @@
     return report;
 }
 
-void request_forwarder::apply_crash_reports(const std::vector<crash_report>& crashes, instant now)
-{
-    for (const auto& crash : crashes)
-        m_quarantine.on_server_lost(crash.fingerprint, crash.worker, now);
-}
-
 } // namespace eelgrassrail
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -130,6 +130,8 @@
     { m_coordinator.handle_leaving(notice.workers, boot_clock::now()); };
     handlers.on_leaving_update = [this](const leaving_update& update)
     { m_state.apply_leaving(update.workers, boot_clock::now()); };
+    handlers.on_crash_update = [this](const crash_update& update)
+    { m_state.apply_crashes(update.crashes, boot_clock::now()); };
     m_peers.start(std::move(handlers));
     start_permits();
     m_reader.start([this] { return should_read_streams(); });
@@ -196,7 +198,8 @@
 void router_process::handle_push(const received_push& message)
 {
     const auto now = boot_clock::now();
-    m_forwarder.apply_crash_reports(message.push.crashes, now);
+    for (const auto& crash : message.push.crashes)
+        m_state.crashes.on_server_lost(crash.fingerprint, crash.worker, now);
     if (!m_state.apply_push(message.push, now))
     {
         // The relay is closer and usually has the changes, but may be missing them too; so requests
@@ -302,6 +305,7 @@
         set_gauges();
         m_links.close_unused(now - link_lifetime);
         m_state.workers.purge_removed(now - removed_lifetime);
+        m_state.crashes.expire(now);
     }
 }
 
--- a/src/router/router_state.cpp
+++ b/src/router/router_state.cpp
@@ -228,6 +228,12 @@
     changed.notify();
 }
 
+void router_state::apply_crashes(std::span<const aged_crash> announced, instant now)
+{
+    for (const auto& crash : announced)
+        crashes.on_server_lost(crash.fingerprint, crash.worker, now - millis(crash.age_ms));
+}
+
 state_copy router_state::make_copy(instant now) const
 {
     state_copy copy;
--- a/tests/src/unit-router_state.cpp
+++ b/tests/src/unit-router_state.cpp
@@ -106,6 +106,7 @@
     CPPUNIT_TEST(the_record_goes_before_an_epoch_that_is_not_on_record);
     CPPUNIT_TEST(an_older_record_changes_nothing_outside_a_claim);
     CPPUNIT_TEST(a_new_coordinator_ends_the_wish_for_a_successor);
+    CPPUNIT_TEST(announced_crashes_count_from_their_time);
     CPPUNIT_TEST(state_grows_old_without_reads);
     CPPUNIT_TEST(a_few_of_each_zone_read_for_it);
     CPPUNIT_TEST(replies_say_what_ran);
@@ -250,6 +251,26 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(20), readers);
     }
 
+    /// A process that started after two crashes must refuse the request that caused them, and only
+    /// for as long as the others do, however often the crashes are announced.
+    void announced_crashes_count_from_their_time()
+    {
+        process it;
+        constexpr std::uint64_t fingerprint = 7;
+        constexpr std::uint32_t age_ms = 100'000;
+        const std::vector<aged_crash> one{{fingerprint, "a", age_ms}};
+        it.state.apply_crashes(one, start_time);
+        CPPUNIT_ASSERT(!it.state.crashes.is_refused(fingerprint, start_time));
+        const std::vector<aged_crash> two{{fingerprint, "a", age_ms}, {fingerprint, "b", age_ms}};
+        it.state.apply_crashes(two, start_time);
+        CPPUNIT_ASSERT(it.state.crashes.is_refused(fingerprint, start_time));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), it.state.crashes.losses(start_time).size());
+        it.state.apply_crashes(two, start_time + millis(10'000));
+        CPPUNIT_ASSERT(it.state.crashes.is_refused(fingerprint, start_time + millis(19'000)));
+        CPPUNIT_ASSERT(!it.state.crashes.is_refused(fingerprint, start_time + millis(21'000)));
+        CPPUNIT_ASSERT(it.state.crashes.losses(start_time + millis(21'000)).empty());
+    }
+
     void state_grows_old_without_reads()
     {
         process it;
