Limits: cold workers get a pace that follows from how they respond

Cause: a worker that has just started got a fixed half of its share. Where demand was low it stayed idle. Change: pace_controller (pure) raises and lowers the rate of one incarnation by its answers, failures and run times, below a cap that follows from the bound, the bucket and the spread of arrivals. The coordinator holds the paces in a second permit ledger and announces them in a datagram of their own; a process paces a cold worker itself until it hears of that. For workers that own keys the pace is their capacity in the plan. Services without `cold_per_s` keep the fixed factors. Ruled out: a share of the bound for each process (79 processes, 17 requests a second: most shares are less than one request).

--- a/include/eelgrassrail/limits/limit_table.hpp
+++ b/include/eelgrassrail/limits/limit_table.hpp
@@ -59,6 +59,10 @@
     /// @return limits that the coordinator does not know yet
     std::vector<rate_limit> apply(std::span<const rate_limit> limits, bool is_settled, instant now);
 
+    /// @brief Sets a limit that this process has derived itself, until the coordinator announces
+    /// another one.
+    void presume(const rate_limit& limit, instant now);
+
     /// @brief The limit of a worker in requests per second; std::nullopt if it names none.
     [[nodiscard]] std::optional<double> find(std::string_view worker) const;
 
--- a/include/eelgrassrail/router/coordinator_channels.hpp
+++ b/include/eelgrassrail/router/coordinator_channels.hpp
@@ -32,6 +32,9 @@
     /// Sends the rate limits to many processes. It may be lost.
     std::function<void(std::span<const relay_part<std::string>>, const limit_update&)>
         announce_limits;
+    /// Sends the paces of workers to many processes. It may be lost.
+    std::function<void(std::span<const relay_part<std::string>>, const pace_update&)>
+        announce_paces;
     /// Fetches a copy of the state of another process and applies it.
     std::function<boost::asio::awaitable<bool>(std::string)> fetch_copy;
     /// Sends the leaving workers to many processes. It may be lost.
--- a/include/eelgrassrail/router/key_coordinator.hpp
+++ b/include/eelgrassrail/router/key_coordinator.hpp
@@ -18,6 +18,7 @@
 #include <eelgrassrail/grants/key_balancer.hpp>
 #include <eelgrassrail/grants/key_load.hpp>
 #include <eelgrassrail/grants/worker_speed.hpp>
+#include <eelgrassrail/limits/pace_controller.hpp>
 #include <eelgrassrail/limits/permit_ledger.hpp>
 #include <eelgrassrail/router/coordinator_channels.hpp>
 #include <eelgrassrail/router/permit_message.hpp>
@@ -86,6 +87,14 @@
         worker_load last_pushed;              ///< as last pushed
     };
 
+    /// The pace of one incarnation of a worker.
+    struct paced_worker
+    {
+        worker_incarnation life;
+        pace_controller pace;
+        instant presumed_at{}; ///< taken for cold without knowing; none: its entry says so
+    };
+
     /// A permit, for requests that are repeated because the reply was lost or late.
     struct issued_permit
     {
@@ -148,6 +157,14 @@
     void restart_permits(instant now);
     permit_decision issue_permit(const permit_request& request, instant now);
     void announce_limits(instant now);
+    void start_paces(instant now);
+    void start_pace(const known_worker& worker, instant cold_until, instant now);
+    void presume_cold(const known_worker& worker, instant now);
+    void presume_cold(const known_worker& worker, instant now);
+    void update_paces(instant now);
+    void add_to_pace(const worker_report& report);
+    void announce_paces(instant now);
+    [[nodiscard]] double usual_ms(std::string_view service) const;
     void announce_leaving(instant now);
     void announce_crashes(instant now);
     [[nodiscard]] std::vector<cluster_member> live_members(instant now) const;
@@ -197,6 +214,7 @@
     member_table m_members;
     std::vector<cluster_member> m_pushed_members;                ///< as last pushed
     std::map<std::string, worker_record, std::less<>> m_workers; ///< by id
+    std::map<std::string, double, std::less<>> m_usual_ms;       ///< median run times, by service
     std::map<std::string, key_load, std::less<>> m_loads;        ///< by service
     std::vector<std::pair<instant, crash_report>> m_crashes;
     std::size_t m_active_moves{};       ///< moves in progress
@@ -204,6 +222,10 @@
     std::uint64_t m_push_count{};       ///< number of pushes sent
     permit_ledger m_permits;            ///< of workers with a rate limit
     std::deque<issued_permit> m_issued; ///< recent ones
+    std::map<std::string, paced_worker, std::less<>> m_paces; ///< by id
+    permit_ledger m_pace_permits;                             ///< of the workers in `m_paces`
+    relay_choice m_paces_tree{relay_choice::gathering};       ///< of the last announcement
+    instant m_paces_changed{}; ///< when a worker was last added or removed
     instant m_coordinating_since{};
     instant m_limits_changed{};
     bool m_announces_now{}; ///< the limits are announced with the next push
--- a/include/eelgrassrail/router/peer_link.hpp
+++ b/include/eelgrassrail/router/peer_link.hpp
@@ -44,6 +44,7 @@
     std::function<void(const permit_request&)> on_permit_request;
     std::function<void(const permit_reply&)> on_permit_reply;
     std::function<void(const limit_update&)> on_limit_update;
+    std::function<void(const pace_update&)> on_pace_update;
     std::function<void(const leaving_notice&)> on_leaving_notice;
     std::function<void(const leaving_update&)> on_leaving_update;
     std::function<void(const crash_update&)> on_crash_update;
@@ -75,6 +76,7 @@
     /// @brief Sends the rate limits to many processes, to some of them through relays. It may be
     /// lost.
     void send(std::span<const relay_part<std::string>> parts, const limit_update& message);
+    void send(std::span<const relay_part<std::string>> parts, const pace_update& message);
 
     /// @brief Sends a message about leaving workers. It may be lost.
     void send(const std::string& address, const leaving_notice& message);
--- a/include/eelgrassrail/router/permit_client.hpp
+++ b/include/eelgrassrail/router/permit_client.hpp
@@ -1,4 +1,4 @@
-/// Obtains permits for requests to workers with a rate limit.
+/// Obtains permits for requests to workers with a rate limit or a pace.
 #pragma once
 
 #include <eelgrassrail/limits/permit_decision.hpp>
@@ -46,6 +46,7 @@
 
     /// @brief Applies an update of the coordinator; one of an earlier coordinator is ignored.
     void handle_update(const limit_update& update);
+    void handle_update(const pace_update& update);
 
   private:
     /// A request for a permit that has no reply yet.
@@ -57,6 +58,7 @@
 
     boost::asio::awaitable<std::optional<permit_reply>> ask(permit_request request, instant until);
     [[nodiscard]] permit_request make_request(const std::string& worker) const;
+    permit_decision take_alone(const std::string& worker);
     [[nodiscard]] process_position position() const;
     void send_notice(const std::string& worker);
 
--- a/include/eelgrassrail/router/permit_message.hpp
+++ b/include/eelgrassrail/router/permit_message.hpp
@@ -49,4 +49,14 @@
 };
 BOOST_DESCRIBE_STRUCT(limit_update, (), (sender, is_settled, limits))
 
+/// The paces of all workers that have started or recovered lately; sent by the coordinator to all
+/// processes through relays.
+struct pace_update
+{
+    coordinator_identity sender;
+    bool is_settled{}; ///< the sender has held its role for long enough to know all paces
+    std::vector<rate_limit> paces;
+};
+BOOST_DESCRIBE_STRUCT(pace_update, (), (sender, is_settled, paces))
+
 } // namespace eelgrassrail
--- a/include/eelgrassrail/router/router_state.hpp
+++ b/include/eelgrassrail/router/router_state.hpp
@@ -16,7 +16,9 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace eelgrassrail
@@ -69,6 +71,16 @@
     /// @brief Applies the crashes that the coordinator has announced.
     void apply_crashes(std::span<const aged_crash> announced, instant now);
 
+    /// @brief The rate limit or pace of a worker, the lower one; std::nullopt if it has neither.
+    [[nodiscard]] std::optional<double> rate_limit_of(std::string_view worker) const;
+
+    /// @brief The later end of the last denials of a permit for the worker's limit and its pace.
+    [[nodiscard]] permit_decision last_denial(std::string_view worker, instant now) const;
+
+    /// @brief Paces a worker of a service that states a rate for cold workers, until the
+    /// coordinator announces its pace.
+    void presume_pace(const std::string& worker, const service_settings& service, instant now);
+
     /// @brief A full copy of this state, for another process.
     [[nodiscard]] state_copy make_copy(instant now) const;
     /// @brief An ownership record of the current coordinator and version, with the given owners.
@@ -133,6 +145,7 @@
     std::map<std::string, worker_load, std::less<>> worker_loads; ///< by worker id
     limit_table limits;                                           ///< rate limits that workers name
     quarantine crashes;                                           ///< of workers, by request
+    limit_table paces; ///< of workers that have started or recovered lately
     bool is_leaving{};
     change_signal changed; ///< notified when routes, workers or ownership change
     metrics counters;
--- a/src/limits/limit_table.cpp
+++ b/src/limits/limit_table.cpp
@@ -120,6 +120,16 @@
     return unknown;
 }
 
+void limit_table::presume(const rate_limit& limit, instant now)
+{
+    auto& known = m_limits.try_emplace(limit.worker).first->second;
+    if (known.per_s)
+        return;
+    known.per_s = limit.per_s;
+    known.known_since = now;
+    known.observed_at = now;
+}
+
 std::optional<double> limit_table::find(std::string_view worker) const
 {
     const auto it = m_limits.find(worker);
--- a/src/router/coordinator_channels.cpp
+++ b/src/router/coordinator_channels.cpp
@@ -20,6 +20,8 @@
                  const coordinator_push& message) { peers.send(parts, gathers, message); },
         [&peers](std::span<const relay_part<std::string>> parts, const limit_update& message)
         { peers.send(parts, message); },
+        [&peers](std::span<const relay_part<std::string>> parts, const pace_update& message)
+        { peers.send(parts, message); },
         [&peers](std::string address) { return peers.fetch_copy(std::move(address), {}); },
         [&peers](std::span<const relay_part<std::string>> parts, const leaving_update& message)
         { peers.send(parts, message); },
--- a/src/router/coordinator_limits.cpp
+++ b/src/router/coordinator_limits.cpp
@@ -75,7 +75,13 @@
                             { return it.id == request.id && it.sender == request.sender; });
     if (decision.is_granted)
         return decision;
-    decision = m_permits.take(request.worker, request.is_urgent, now);
+    // A process that asks for a worker without a limit has found it to be cold or unreachable.
+    if (const auto* known = m_state.workers.find(request.worker);
+        !request.is_limited && known != nullptr)
+        presume_cold(*known, now);
+    decision = m_pace_permits.take(request.worker, request.is_urgent, now);
+    if (decision.is_granted)
+        decision = m_permits.take(request.worker, request.is_urgent, now);
     if (decision.is_granted)
         m_issued.push_back({request.sender, request.id, now});
     return decision;
@@ -84,6 +90,9 @@
 void key_coordinator::restart_permits(instant now)
 {
     m_permits.restart(m_state.limits.limits(), now);
+    m_paces.clear();
+    m_pace_permits.restart({}, now);
+    start_paces(now);
     m_coordinating_since = now;
     m_limits_changed = now;
     m_announces_now = true;
--- a/src/router/coordinator_updates.cpp
+++ b/src/router/coordinator_updates.cpp
@@ -46,6 +46,8 @@
 void key_coordinator::push_state(instant now)
 {
     m_last_push = now;
+    start_paces(now);
+    update_paces(now);
     m_next_push = now + push_interval;
     while (!m_changes.empty() &&
            (m_changes.front().first < now - repeat_window || m_changes.size() > max_changes))
@@ -99,6 +101,7 @@
     for (const auto& item : push.use)
         m_state.worker_loads[item.id] = item;
     announce_limits(now);
+    announce_paces(now);
     announce_leaving(now);
     announce_crashes(now);
 }
@@ -163,6 +166,8 @@
         for (const auto time : item.times_ms)
             worker.speed.add(time);
         m_permits.on_completed(item.id, item.answers + item.failures, now);
+        m_pace_permits.on_completed(item.id, item.answers + item.failures, now);
+        add_to_pace(item);
         constexpr double smoothing_factor = 0.1;
         const auto* known = m_state.workers.find(item.id);
         worker.speed.on_answers(item.answers, worker.in_flight, known ? known->entry.slots : 1,
--- a/src/router/coordinator_workers.cpp
+++ b/src/router/coordinator_workers.cpp
@@ -60,6 +60,7 @@
             times.push_back(ms);
     std::ranges::sort(times);
     const double median_ms = times.empty() ? default_run_ms : times[times.size() / 2];
+    m_usual_ms.insert_or_assign(service, median_ms);
     std::vector<key_worker> result;
     for (const auto* worker : ready)
     {
@@ -68,6 +69,7 @@
             (record.other_answered != instant{} &&
              now - record.other_answered < other_worker_backoff))
             continue;
+        const auto pace = m_paces.find(worker->entry.life.id);
         key_worker usable;
         usable.incarnation = worker->entry.life;
         const double known = record.speed.typical_ms();
@@ -76,9 +78,12 @@
         constexpr double min_success_ratio = 0.1;
         constexpr double min_failure_rate = 0.25; // lower rates are mostly noise
         const double failing = record.failure_rate > min_failure_rate ? record.failure_rate : 0.0;
-        usable.capacity = worker->entry.slots * ms_in_s / run_ms *
-                          std::max(min_success_ratio, 1.0 - failing) *
-                          (worker->is_cold(now) ? cold_capacity_ratio : 1.0);
+        usable.capacity =
+            worker->entry.slots * ms_in_s / run_ms * std::max(min_success_ratio, 1.0 - failing) *
+            (worker->is_cold(now) && pace == m_paces.end() ? cold_capacity_ratio : 1.0);
+        // The pace may be above what a slow worker can run.
+        if (pace != m_paces.end())
+            usable.capacity = std::min(usable.capacity, pace->second.pace.per_s());
         // A part of the keys stays, so that there are answers that show whether the limit holds.
         constexpr double min_limited_part = 0.1;
         if (const auto limit = m_permits.find_confirmed(worker->entry.life.id, now))
--- a/src/router/permit_client.cpp
+++ b/src/router/permit_client.cpp
@@ -51,7 +51,7 @@
 {
     permit_decision decision;
     decision.is_granted = true;
-    if (!m_state.limits.find(worker))
+    if (!m_state.rate_limit_of(worker))
         co_return decision;
     auto request = make_request(worker);
     request.wants_permit = true;
@@ -60,7 +60,7 @@
     const auto now = boot_clock::now();
     if (!reply)
     {
-        decision = m_state.limits.last_denial(worker, now);
+        decision = m_state.last_denial(worker, now);
         if (!decision.is_granted)
             co_return decision;
         if (now >= m_alone_until && !m_state.coordinator.address.empty())
@@ -74,7 +74,7 @@
     }
     else
     {
-        decision = m_state.limits.take_alone(worker, position(), boot_clock::now());
+        decision = take_alone(worker);
         m_state.counters.count(decision.is_granted ? "permits_taken_alone"
                                                    : "permits_denied_alone");
     }
@@ -82,6 +82,7 @@
     if (!decision.is_granted)
     {
         m_state.limits.on_denied(worker, decision, boot_clock::now());
+        m_state.paces.on_denied(worker, decision, boot_clock::now());
         log_debug(log_part::dispatch,
                   "permit denied worker=" + worker + " next_ms=" +
                       std::to_string(static_cast<int>(decision.next_ms)) + " retry_after_ms=" +
@@ -92,6 +93,14 @@
     co_return decision;
 }
 
+/// Both the rate limit and the pace of the worker have to allow the request.
+permit_decision permit_client::take_alone(const std::string& worker)
+{
+    const auto now = boot_clock::now();
+    const auto paced = m_state.paces.take_alone(worker, position(), now);
+    return paced.is_granted ? m_state.limits.take_alone(worker, position(), now) : paced;
+}
+
 /// @return nothing if the coordinator does not answer
 asio::awaitable<std::optional<permit_reply>> permit_client::ask(permit_request request,
                                                                 instant until)
@@ -149,6 +158,12 @@
         m_channels.send(m_state.coordinator.address, notice);
 }
 
+void permit_client::handle_update(const pace_update& update)
+{
+    if (update.sender == m_state.coordinator)
+        m_state.paces.apply(update.paces, update.is_settled, boot_clock::now());
+}
+
 void permit_client::handle_update(const limit_update& update)
 {
     if (!(update.sender == m_state.coordinator))
--- a/src/router/request_forwarder.cpp
+++ b/src/router/request_forwarder.cpp
@@ -142,7 +142,7 @@
     if (worker == nullptr)
         co_return refuse(request, wait_ms > 0 ? error_kind::overloaded : error_kind::no_server,
                          wait_ms);
-    if (m_state.limits.find(worker->entry.life.id))
+    if (m_state.rate_limit_of(worker->entry.life.id))
     {
         const auto entry = worker->entry;
         const auto permit =
@@ -248,6 +248,9 @@
                          (kind == reply_kind::not_executed || kind == reply_kind::lost) &&
                          now < request.deadline;
     record_result(entry, *link, {kind, took, exchange.reused, exchange.cancelled});
+    // A worker that refuses connections may be back later, and cold.
+    if (exchange.refused)
+        m_state.presume_pace(entry.life.id, *request.settings, now);
     const bool counts_as_failure = kind != reply_kind::wrong_owner && !is_full && !is_withheld &&
                                    !is_paused && !request.watch->is_gone();
     link->on_end(is_success || !counts_as_failure, is_success, is_success && has_free_slot, took,
@@ -415,6 +418,7 @@
            " key=" + (request.key ? std::to_string(*request.key) : std::string("-")) +
            " worker=" + request.last_worker +
            (m_state.limits.find(request.last_worker) ? " limited=1" : "") +
+           (m_state.paces.find(request.last_worker) ? " paced=1" : "") +
            " sent=" + std::to_string(request.attempts) +
            " ms=" + std::to_string(static_cast<int>(ms(boot_clock::now() - request.arrived)));
 }
--- a/src/router/router_state.cpp
+++ b/src/router/router_state.cpp
@@ -1,5 +1,6 @@
 /// Merges pushes, state copies and ownership records into the local view of the cluster state.
 #include <eelgrassrail/core/exception.hpp>
+#include <eelgrassrail/limits/pace_controller.hpp>
 #include <eelgrassrail/observe/log.hpp>
 #include <eelgrassrail/router/router_state.hpp>
 
@@ -234,6 +235,30 @@
         crashes.on_server_lost(crash.fingerprint, crash.worker, now - millis(crash.age_ms));
 }
 
+std::optional<double> router_state::rate_limit_of(std::string_view worker) const
+{
+    const auto limit = limits.find(worker);
+    const auto pace = paces.find(worker);
+    return limit && pace ? std::min(limit, pace) : limit ? limit : pace;
+}
+
+permit_decision router_state::last_denial(std::string_view worker, instant now) const
+{
+    const auto limit = limits.last_denial(worker, now);
+    const auto pace = paces.last_denial(worker, now);
+    return limit.is_granted || (!pace.is_granted && pace.next_ms > limit.next_ms) ? pace : limit;
+}
+
+void router_state::presume_pace(const std::string& worker, const service_settings& service,
+                                instant now)
+{
+    if (service.cold_per_s <= 0 || paces.find(worker))
+        return;
+    const auto bounds =
+        make_pace_bounds(service.cold_per_s, settings.cold_overage, settings.cold_slack);
+    paces.presume({worker, bounds.initial_per_s}, now);
+}
+
 state_copy router_state::make_copy(instant now) const
 {
     state_copy copy;
--- a/src/router/worker_selection.cpp
+++ b/src/router/worker_selection.cpp
@@ -55,14 +55,16 @@
     double min_pause_ms = std::numeric_limits<double>::max();
     for (const auto* worker : workers)
     {
+        if (worker->is_cold(now))
+            m_state.presume_pace(worker->entry.life.id, *request.settings, now);
         auto option = make_worker_option(*worker, now);
         min_pause_ms = std::min(min_pause_ms, m_pauses.remaining_ms(worker->entry.life, now));
         const double closed_ms = remaining_backoff_ms(worker->entry, now);
-        const auto denial = m_state.limits.last_denial(worker->entry.life.id, now);
+        const auto denial = m_state.last_denial(worker->entry.life.id, now);
         const double blocked_ms = std::max(closed_ms, denial.retry_after_ms);
         option.is_excluded = request.refused_by.contains(worker->entry.life.id) || blocked_ms > 0 ||
                              (request.permit_denials >= max_permit_denials &&
-                              m_state.limits.find(worker->entry.life.id));
+                              m_state.rate_limit_of(worker->entry.life.id));
         if (blocked_ms > 0)
             min_wait_ms = min_wait_ms > 0 ? std::min(min_wait_ms, blocked_ms) : blocked_ms;
         if (!option.is_excluded)
@@ -101,8 +103,11 @@
         return nullptr;
     const auto now = boot_clock::now();
     request.paused_ms = m_pauses.remaining_ms(worker->entry.life, now);
-    wait_ms = std::max(remaining_backoff_ms(worker->entry, now),
-                       m_state.limits.queue_caller(worker->entry.life.id, now));
+    if (worker->is_cold(now))
+        m_state.presume_pace(worker->entry.life.id, *request.settings, now);
+    wait_ms = std::max({remaining_backoff_ms(worker->entry, now),
+                        m_state.limits.queue_caller(worker->entry.life.id, now),
+                        m_state.paces.queue_caller(worker->entry.life.id, now)});
     if (wait_ms > 0)
         return nullptr;
     const auto decision =
@@ -110,7 +115,7 @@
     constexpr double ms_in_s = 1'000.0;
     constexpr double min_per_s = 0.1; // callers are not told to wait for longer than 10 s
     wait_ms = decision.retry_after_ms;
-    if (const auto limit = m_state.limits.find(worker->entry.life.id))
+    if (const auto limit = m_state.rate_limit_of(worker->entry.life.id))
         wait_ms = std::max(wait_ms, ms_in_s / std::max(*limit, min_per_s));
     return decision.is_admitted ? worker : nullptr;
 }
@@ -198,12 +203,14 @@
     {
         // Permits bound the requests to a worker with a rate limit. Its load is only for processes
         // that do not ask for them.
-        if (!m_state.limits.find(worker.entry.life.id))
+        if (!m_state.rate_limit_of(worker.entry.life.id))
             option.in_flight = load->second.in_flight;
         if (load->second.typical_ms > 0)
             option.run_ms = load->second.typical_ms;
     }
-    if (worker.is_cold(now))
+    // A pace bounds the requests to a cold worker by how it responds, and its run times show how
+    // slow it is.
+    if (worker.is_cold(now) && !m_state.paces.find(worker.entry.life.id))
         option.run_ms *= cold_factor;
     if (const auto link = m_links.find(worker.entry.life.id))
     {
