Registry: availability zones that the operator evacuates

Cause: records `evacuate/ZONE` of the operator's topic were dropped, so requests went on to the workers of an evacuated zone. Change: the adapter decodes them, evacuated_zones (pure) merges them by offset, the coordinator announces them in a datagram of their own and moves the keys of the zone's workers as those of leaving ones. Requests without a key stop at once; owners of keys serve for half of the setting `evacuate`, then the requests wait for the new owner. A zone that is taken back has workers of unknown state: they are paced until an entry that they write afterwards says that they are warm. Ruled out: marking the workers as leaving, which nothing takes back.

--- a/include/eelgrassrail/router/coordinator_channels.hpp
+++ b/include/eelgrassrail/router/coordinator_channels.hpp
@@ -4,6 +4,7 @@
 #include <eelgrassrail/http/client.hpp>
 #include <eelgrassrail/registry/worker_entry.hpp>
 #include <eelgrassrail/router/crash_message.hpp>
+#include <eelgrassrail/router/evacuation_message.hpp>
 #include <eelgrassrail/router/leaving_message.hpp>
 #include <eelgrassrail/router/peer_link.hpp>
 #include <eelgrassrail/router/permit_message.hpp>
@@ -35,6 +36,9 @@
     /// Sends the paces of workers to many processes. It may be lost.
     std::function<void(std::span<const relay_part<std::string>>, const pace_update&)>
         announce_paces;
+    /// Sends the changes of evacuations to many processes. It may be lost.
+    std::function<void(std::span<const relay_part<std::string>>, const evacuation_update&)>
+        announce_evacuations;
     /// Fetches a copy of the state of another process and applies it.
     std::function<boost::asio::awaitable<bool>(std::string)> fetch_copy;
     /// Sends the leaving workers to many processes. It may be lost.
--- a/include/eelgrassrail/router/key_coordinator.hpp
+++ b/include/eelgrassrail/router/key_coordinator.hpp
@@ -164,6 +164,8 @@
     void update_paces(instant now);
     void add_to_pace(const worker_report& report);
     void announce_paces(instant now);
+    void update_evacuations(instant now);
+    void announce_evacuations(instant now);
     [[nodiscard]] double usual_ms(std::string_view service) const;
     void announce_leaving(instant now);
     void announce_crashes(instant now);
@@ -225,6 +227,8 @@
     std::map<std::string, paced_worker, std::less<>> m_paces; ///< by id
     permit_ledger m_pace_permits;                             ///< of the workers in `m_paces`
     relay_choice m_paces_tree{relay_choice::gathering};       ///< of the last announcement
+    std::vector<zone_evacuation> m_evacuations;               ///< as last announced
+    relay_choice m_evacuations_tree{relay_choice::gathering}; ///< of the last announcement
     instant m_paces_changed{}; ///< when a worker was last added or removed
     instant m_coordinating_since{};
     instant m_limits_changed{};
--- a/include/eelgrassrail/router/peer_link.hpp
+++ b/include/eelgrassrail/router/peer_link.hpp
@@ -4,6 +4,7 @@
 #include <eelgrassrail/http/client.hpp>
 #include <eelgrassrail/http/listener.hpp>
 #include <eelgrassrail/router/crash_message.hpp>
+#include <eelgrassrail/router/evacuation_message.hpp>
 #include <eelgrassrail/router/leaving_message.hpp>
 #include <eelgrassrail/router/permit_message.hpp>
 #include <eelgrassrail/router/router_message.hpp>
@@ -45,6 +46,7 @@
     std::function<void(const permit_reply&)> on_permit_reply;
     std::function<void(const limit_update&)> on_limit_update;
     std::function<void(const pace_update&)> on_pace_update;
+    std::function<void(const evacuation_update&)> on_evacuation_update;
     std::function<void(const leaving_notice&)> on_leaving_notice;
     std::function<void(const leaving_update&)> on_leaving_update;
     std::function<void(const crash_update&)> on_crash_update;
@@ -78,6 +80,9 @@
     void send(std::span<const relay_part<std::string>> parts, const limit_update& message);
     void send(std::span<const relay_part<std::string>> parts, const pace_update& message);
 
+    /// @brief Sends the changes of evacuations. It may be lost.
+    void send(std::span<const relay_part<std::string>> parts, const evacuation_update& message);
+
     /// @brief Sends a message about leaving workers. It may be lost.
     void send(const std::string& address, const leaving_notice& message);
     void send(std::span<const relay_part<std::string>> parts, const leaving_update& message);
--- a/include/eelgrassrail/router/platform_calls.hpp
+++ b/include/eelgrassrail/router/platform_calls.hpp
@@ -3,6 +3,7 @@
 
 #include <eelgrassrail/core/clock.hpp>
 #include <eelgrassrail/registry/worker_change.hpp>
+#include <eelgrassrail/registry/zone_evacuation.hpp>
 #include <eelgrassrail/routing/route_table.hpp>
 
 #include <boost/asio/awaitable.hpp>
@@ -20,7 +21,7 @@
 /// Streams that the router reads.
 enum class platform_stream : std::uint8_t
 {
-    routes,   ///< desired states; written by operators
+    routes,   ///< desired states and evacuations; written by operators
     workers,  ///< worker entries; written by the workers
     ownership ///< ownership records; written by the router
 };
@@ -66,6 +67,9 @@
     {
         store.decode_routes(text)
         } -> std::same_as<route_table>;
+    {
+        store.decode_evacuation(record)
+        } -> std::same_as<std::optional<zone_evacuation>>;
     {
         store.decode_worker(record)
         } -> std::same_as<worker_change>;
@@ -86,6 +90,9 @@
         append_ownership;
     /// @throws platform_error if the text is not a valid desired state
     std::function<route_table(const std::string&)> decode_routes;
+    /// The evacuation that a record of the routes' stream is about; nothing if it is a desired
+    /// state. Empty: all records are desired states.
+    std::function<std::optional<zone_evacuation>(const stream_record&)> decode_evacuation;
     /// @throws platform_error if the record is not a valid worker entry
     std::function<worker_change(const stream_record&)> decode_worker;
 };
@@ -101,6 +108,7 @@
         [&store](std::string text, std::uint64_t at)
         { return store.append_ownership(std::move(text), at); },
         [&store](const std::string& text) { return store.decode_routes(text); },
+        [&store](const stream_record& record) { return store.decode_evacuation(record); },
         [&store](const stream_record& record) { return store.decode_worker(record); },
     };
 }
--- a/include/eelgrassrail/router/router_settings.hpp
+++ b/include/eelgrassrail/router/router_settings.hpp
@@ -22,6 +22,7 @@
     millis max_lease_duration{};    ///< maximum lease duration of a grant
     double retry_ratio{};           ///< retry budget of all processes, as a share of the requests
     double retry_slack{};           ///< retries of all processes allowed beyond the ratio
+    millis evacuate_timeout{};      ///< workers of an evacuated zone get nothing after this time
     double cold_overage{};          ///< factor on `cold_per_s` that bounds a second; 0: not stated
     double cold_slack{};            ///< requests in a second allowed beyond it
     bool is_first_start{};          ///< all processes of the deployment start for the first time
--- a/include/eelgrassrail/router/router_state.hpp
+++ b/include/eelgrassrail/router/router_state.hpp
@@ -4,10 +4,11 @@
 #include <eelgrassrail/grants/key_map.hpp>
 #include <eelgrassrail/limits/limit_table.hpp>
 #include <eelgrassrail/observe/metrics.hpp>
+#include <eelgrassrail/registry/evacuated_zones.hpp>
 #include <eelgrassrail/registry/worker_feed.hpp>
 #include <eelgrassrail/requests/quarantine.hpp>
-#include <eelgrassrail/router/crash_message.hpp>
 #include <eelgrassrail/router/change_signal.hpp>
+#include <eelgrassrail/router/crash_message.hpp>
 #include <eelgrassrail/router/platform_calls.hpp>
 #include <eelgrassrail/router/router_message.hpp>
 #include <eelgrassrail/router/router_settings.hpp>
@@ -71,6 +72,18 @@
     /// @brief Applies the crashes that the coordinator has announced.
     void apply_crashes(std::span<const aged_crash> announced, instant now);
 
+    /// @brief Applies changes of evacuations that were read or announced.
+    void apply_evacuations(std::span<const zone_evacuation> changes, instant now);
+
+    /// @brief Applies a complete listing of the evacuations in force.
+    /// @param end offset before which the listing is complete
+    void apply_evacuation_listing(std::span<const zone_evacuation> listing, std::uint64_t end,
+                                  instant now);
+
+    /// @brief Whether a worker may get requests: it accepts work and its zone is not evacuated.
+    /// Requests for keys that it owns may follow for some time while these move.
+    [[nodiscard]] bool may_use(const known_worker& worker, bool is_sharded, instant now) const;
+
     /// @brief The rate limit or pace of a worker, the lower one; std::nullopt if it has neither.
     [[nodiscard]] std::optional<double> rate_limit_of(std::string_view worker) const;
 
@@ -109,6 +122,7 @@
 
   private:
     void assign(const slice_change& change);
+    void on_evacuation_changed(const std::string& zone, instant now);
 
   public:
     router_settings settings;
@@ -120,7 +134,8 @@
     std::shared_ptr<const route_table> routes; ///< null: none known; versions only increase
     std::string routes_text;                   ///< of `routes`, as the store holds it
     worker_registry workers;
-    worker_feed feed;           ///< of this process's own reads of the workers' stream
+    worker_feed feed; ///< of this process's own reads of the workers' stream
+    evacuated_zones evacuations;
     bool workers_unknown{true}; ///< no read of the workers' stream or copy yet
     service_maps maps;          ///< owners of the keys
     /// Of `maps`; epoch in the upper bits. Invariant: the epoch is on record, with `coordinator`;
--- a/include/eelgrassrail/router/stream_reader.hpp
+++ b/include/eelgrassrail/router/stream_reader.hpp
@@ -28,6 +28,7 @@
   private:
     boost::asio::awaitable<void> read_workers();
     boost::asio::awaitable<void> read_routes();
+    void apply_operator_records(const stream_page& page, bool is_listing);
     boost::asio::awaitable<bool> read_newest_workers();
     boost::asio::awaitable<bool> read_newest_routes();
     boost::asio::awaitable<bool> read_new_workers();
--- a/src/router/coordinator_channels.cpp
+++ b/src/router/coordinator_channels.cpp
@@ -22,6 +22,8 @@
         { peers.send(parts, message); },
         [&peers](std::span<const relay_part<std::string>> parts, const pace_update& message)
         { peers.send(parts, message); },
+        [&peers](std::span<const relay_part<std::string>> parts, const evacuation_update& message)
+        { peers.send(parts, message); },
         [&peers](std::string address) { return peers.fetch_copy(std::move(address), {}); },
         [&peers](std::span<const relay_part<std::string>> parts, const leaving_update& message)
         { peers.send(parts, message); },
--- a/src/router/coordinator_paces.cpp
+++ b/src/router/coordinator_paces.cpp
@@ -80,12 +80,12 @@
                  std::to_string(std::chrono::duration_cast<millis>(cold_until - now).count()));
 }
 
-/// Paces a worker that may have turned cold: it was unreachable, and its entry was not renewed
-/// since.
+/// Paces a worker that may have turned cold until an entry that it writes from now on says whether
+/// it has.
 void key_coordinator::presume_cold(const known_worker& worker, instant now)
 {
     const auto unknown_time = 2 * m_state.settings.worker_heartbeat;
-    if (now - worker.changed <= unknown_time || m_paces.contains(worker.entry.life.id))
+    if (m_paces.contains(worker.entry.life.id))
         return;
     start_pace(worker, now + unknown_time, now);
     if (const auto it = m_paces.find(worker.entry.life.id); it != m_paces.end())
--- a/src/router/coordinator_updates.cpp
+++ b/src/router/coordinator_updates.cpp
@@ -46,6 +46,7 @@
 void key_coordinator::push_state(instant now)
 {
     m_last_push = now;
+    update_evacuations(now);
     start_paces(now);
     update_paces(now);
     m_next_push = now + push_interval;
@@ -102,6 +103,7 @@
         m_state.worker_loads[item.id] = item;
     announce_limits(now);
     announce_paces(now);
+    announce_evacuations(now);
     announce_leaving(now);
     announce_crashes(now);
 }
--- a/src/router/coordinator_workers.cpp
+++ b/src/router/coordinator_workers.cpp
@@ -65,6 +65,8 @@
     for (const auto* worker : ready)
     {
         const auto& record = m_workers[worker->entry.life.id];
+        if (m_state.evacuations.since(worker->entry.zone))
+            continue;
         if (m_grants.has_ended(worker->entry.life) ||
             (record.other_answered != instant{} &&
              now - record.other_answered < other_worker_backoff))
--- a/src/router/key_moves.cpp
+++ b/src/router/key_moves.cpp
@@ -145,8 +145,9 @@
             move.slice.previous = planned.source;
             move.epoch = epoch();
             const auto* source = m_state.workers.find(planned.source.id);
-            move.is_balancing =
-                source != nullptr && source->entry.life == planned.source && source->accepts_work();
+            move.is_balancing = source != nullptr && source->entry.life == planned.source &&
+                                source->accepts_work() &&
+                                !m_state.evacuations.since(source->entry.zone);
             moves.push_back(std::move(move));
         }
     }
--- a/src/router/peer_link.cpp
+++ b/src/router/peer_link.cpp
@@ -44,6 +44,7 @@
     permit_reply = 'a',
     limit_update = 'l',
     pace_update = 'o',
+    evacuation_update = 'e',
     leaving_notice = 'd',
     leaving_update = 'w',
     crash_update = 'c'
@@ -142,6 +143,13 @@
           pack(write_message(message)));
 }
 
+void peer_link::send(std::span<const relay_part<std::string>> parts,
+                     const evacuation_update& message)
+{
+    relay(static_cast<char>(datagram_kind::evacuation_update), parts, false,
+          pack(write_message(message)));
+}
+
 void peer_link::send(const std::string& address, const leaving_notice& message)
 {
     send_datagram(address,
@@ -223,6 +231,7 @@
     case datagram_kind::push:
     case datagram_kind::limit_update:
     case datagram_kind::pace_update:
+    case datagram_kind::evacuation_update:
     case datagram_kind::leaving_update:
     case datagram_kind::crash_update:
         handle_relayed(bytes.front(), body, from);
@@ -287,6 +296,14 @@
             m_state.counters.count("datagrams_malformed");
         return;
     }
+    if (kind == static_cast<char>(datagram_kind::evacuation_update))
+    {
+        if (const auto message = unpack_message<evacuation_update>(packed))
+            m_handlers.on_evacuation_update(*message);
+        else
+            m_state.counters.count("datagrams_malformed");
+        return;
+    }
     if (kind == static_cast<char>(datagram_kind::pace_update))
     {
         if (const auto message = unpack_message<pace_update>(packed))
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -126,6 +126,8 @@
     handlers.on_permit_reply = [this](const permit_reply& reply) { m_permits.handle_reply(reply); };
     handlers.on_limit_update = [this](const limit_update& update)
     { m_permits.handle_update(update); };
+    handlers.on_evacuation_update = [this](const evacuation_update& update)
+    { m_state.apply_evacuations(update.changes, boot_clock::now()); };
     handlers.on_pace_update = [this](const pace_update& update)
     { m_permits.handle_update(update); };
     handlers.on_leaving_notice = [this](const leaving_notice& notice)
@@ -320,6 +322,7 @@
     counters.set("state_age_seconds", m_state.age_ms(boot_clock::now()) / ms_in_s);
     counters.set("requests_in_flight", static_cast<double>(m_forwarder.in_flight()));
     counters.set("worker_limits_known", static_cast<double>(m_state.limits.limits().size()));
+    counters.set("zones_evacuated", static_cast<double>(m_state.evacuations.count()));
     counters.set("workers_paced", static_cast<double>(m_state.paces.limits().size()));
     counters.set("callers_connections", static_cast<double>(m_callers.connections()));
     counters.set("coordinates", m_coordinator.is_active() ? 1.0 : 0.0);
--- a/src/router/router_state.cpp
+++ b/src/router/router_state.cpp
@@ -235,6 +235,47 @@
         crashes.on_server_lost(crash.fingerprint, crash.worker, now - millis(crash.age_ms));
 }
 
+void router_state::apply_evacuations(std::span<const zone_evacuation> changes, instant now)
+{
+    for (const auto& change : changes)
+        if (evacuations.apply(change, now))
+            on_evacuation_changed(change.zone, now);
+}
+
+void router_state::apply_evacuation_listing(std::span<const zone_evacuation> listing,
+                                            std::uint64_t end, instant now)
+{
+    for (const auto& zone : evacuations.apply_listing(listing, end, now))
+        on_evacuation_changed(zone, now);
+}
+
+/// The workers of a zone that is taken back may be cold, whatever their last entries say.
+void router_state::on_evacuation_changed(const std::string& zone, instant now)
+{
+    const bool is_evacuated = evacuations.since(zone).has_value();
+    log_info(log_part::platform,
+             "evacuation " + std::string(is_evacuated ? "begins" : "ends") + " zone=" + zone);
+    counters.count(is_evacuated ? "evacuations_begun" : "evacuations_ended");
+    if (!is_evacuated && routes)
+        workers.for_each(
+            [&](const known_worker& worker)
+            {
+                const auto* service = routes->find_service(worker.entry.service);
+                if (worker.is_listed && worker.entry.zone == zone && service != nullptr)
+                    presume_pace(worker.entry.life.id, *service, now);
+            });
+    changed.notify();
+}
+
+bool router_state::may_use(const known_worker& worker, bool is_sharded, instant now) const
+{
+    // The rest of the time is for requests that are on their way, and for the delay until this
+    // process has learned of the evacuation.
+    constexpr int move_part = 2;
+    const auto move_time = is_sharded ? settings.evacuate_timeout / move_part : millis(0);
+    return worker.accepts_work() && evacuations.may_serve_keys(worker.entry.zone, move_time, now);
+}
+
 std::optional<double> router_state::rate_limit_of(std::string_view worker) const
 {
     const auto limit = limits.find(worker);
--- a/src/router/stream_reader.cpp
+++ b/src/router/stream_reader.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace eelgrassrail
 {
@@ -206,6 +207,27 @@
     co_return true;
 }
 
+/// Applies desired states and evacuations.
+/// @param is_listing the page holds the newest record of each key, so what it lacks has ended
+void stream_reader::apply_operator_records(const stream_page& page, bool is_listing)
+{
+    std::vector<zone_evacuation> evacuations;
+    for (const auto& record : page.records)
+    {
+        const auto evacuation = m_state.calls.decode_evacuation
+                                    ? m_state.calls.decode_evacuation(record)
+                                    : std::nullopt;
+        if (evacuation)
+            evacuations.push_back(*evacuation);
+        else if (!record.value.empty())
+            m_state.apply_routes(record.value);
+    }
+    if (is_listing)
+        m_state.apply_evacuation_listing(evacuations, page.end, boot_clock::now());
+    else
+        m_state.apply_evacuations(evacuations, boot_clock::now());
+}
+
 asio::awaitable<void> stream_reader::read_routes()
 {
     bool is_known = false;
@@ -238,11 +260,9 @@
         // A long poll without records proves that the stream was read to its end when the answer
         // arrived, not only when the read was sent.
         m_routes_read_at = page->records.empty() && is_known ? boot_clock::now() : sent_at;
-        is_known = true;
+        const bool is_listing = !std::exchange(is_known, true);
         m_routes_offset = page->end;
-        for (const auto& record : page->records)
-            if (!record.value.empty())
-                m_state.apply_routes(record.value);
+        apply_operator_records(*page, is_listing);
         if (page->records.empty() && !m_state.routes)
             co_await pause(inactive_poll_interval);
     }
--- a/src/router/worker_selection.cpp
+++ b/src/router/worker_selection.cpp
@@ -24,6 +24,9 @@
 /// workers have one, further permits are unlikely, and each takes a round trip.
 constexpr unsigned max_permit_denials = 3;
 
+/// Time after which a caller may return if only workers of an evacuated zone could serve it.
+constexpr double evacuated_retry_ms = 1'000.0;
+
 } // namespace
 
 /// Instant until which a request waits for an owner of its key.
@@ -38,7 +41,9 @@
         // The move of its keys starts with the notice that it is leaving.
         if (const auto* owner = m_state.workers.find(slice.owner.id);
             owner != nullptr && owner->entry.life == slice.owner)
-            wait_start = std::max(wait_start, owner->leaving_since);
+            wait_start =
+                std::max({wait_start, owner->leaving_since,
+                          m_state.evacuations.since(owner->entry.zone).value_or(instant{})});
     }
     return std::max(wait_start + owner_wait_timeout, request.arrived + min_owner_wait);
 }
@@ -53,8 +58,15 @@
     options.reserve(workers.size());
     double min_wait_ms = 0;
     double min_pause_ms = std::numeric_limits<double>::max();
+    bool is_evacuated = false;
     for (const auto* worker : workers)
     {
+        if (!m_state.may_use(*worker, false, now))
+        {
+            is_evacuated = true;
+            options.emplace_back().is_excluded = true;
+            continue;
+        }
         if (worker->is_cold(now))
             m_state.presume_pace(worker->entry.life.id, *request.settings, now);
         auto option = make_worker_option(*worker, now);
@@ -83,6 +95,8 @@
                       {sample(m_random), sample(m_random)});
     if (best)
         return workers[best->index];
+    if (is_evacuated && min_wait_ms == 0)
+        min_wait_ms = evacuated_retry_ms;
     wait_ms = request.refused_by.empty() ? min_wait_ms
                                          : std::max(min_wait_ms, typical_ms(request.service));
     request.paused_ms = workers.empty() ? 0.0 : min_pause_ms;
@@ -99,9 +113,10 @@
     if (!slice.is_ready || slice.owner.id.empty())
         return nullptr;
     const auto* worker = m_state.workers.find(slice.owner.id);
-    if (worker == nullptr || !worker->accepts_work() || worker->entry.life != slice.owner)
-        return nullptr;
     const auto now = boot_clock::now();
+    if (worker == nullptr || !m_state.may_use(*worker, true, now) ||
+        worker->entry.life != slice.owner)
+        return nullptr;
     request.paused_ms = m_pauses.remaining_ms(worker->entry.life, now);
     if (worker->is_cold(now))
         m_state.presume_pace(worker->entry.life.id, *request.settings, now);
@@ -124,7 +139,11 @@
 bool request_forwarder::accepts_requests(const worker_incarnation& worker, instant now) const
 {
     const auto* known = m_state.workers.find(worker.id);
-    return known != nullptr && known->accepts_work() && known->entry.life == worker &&
+    if (known == nullptr || known->entry.life != worker)
+        return false;
+    const auto* service =
+        m_state.routes ? m_state.routes->find_service(known->entry.service) : nullptr;
+    return m_state.may_use(*known, service != nullptr && service->is_sharded, now) &&
            m_pauses.remaining_ms(worker, now) == 0;
 }
 
--- a/tests/model/model_process.cpp
+++ b/tests/model/model_process.cpp
@@ -103,6 +103,8 @@
     };
     channels.announce_limits = [](std::span<const relay_part<std::string>>, const limit_update&) {};
     channels.announce_paces = [](std::span<const relay_part<std::string>>, const pace_update&) {};
+    channels.announce_evacuations = [](std::span<const relay_part<std::string>>,
+                                       const evacuation_update&) {};
     channels.announce_leaving = [](std::span<const relay_part<std::string>>,
                                    const leaving_update&) {};
     channels.announce_crashes = [](std::span<const relay_part<std::string>>, const crash_update&) {
