Store: positions name the era of a store that was restored from a copy

Cause: a store that comes back from a copy issues offsets again, so what was read before it counted as newer than what is read after it; a conditional append could succeed by chance at an offset that was issued again; the ownership record on the copy could lack the latest moves and claims, and a claim of the next epoch could use its fencing tokens twice. Change: the adapter joins era and offset to one position, so all comparisons stay. Reads and appends from an earlier era are gaps and lost races. Epochs contain the era. The coordinator in office records its state again, under an epoch of the new era, before any other move. A claimer that finds a record of an earlier era continues the newest owners that it knows and grants nothing until all leases that missing records may have permitted have ended; the record carries that time for its successors. Ruled out: the era as a field of its own in registry, feed, copies and pushes, which earlier builds would reject.

--- a/include/eelgrassrail/grants/coordinator_term.hpp
+++ b/include/eelgrassrail/grants/coordinator_term.hpp
@@ -16,6 +16,12 @@
     /// @param earlier_leases_until when all leases granted in earlier epochs have ended
     void begin(std::uint64_t epoch, instant confirmed_at, instant earlier_leases_until) noexcept;
 
+    /// @brief Allows no grants before an instant: the owners on record may not be the latest.
+    void hold_grants(instant until) noexcept { m_grants_from = until; }
+
+    /// @brief Remaining time without grants.
+    [[nodiscard]] millis grant_hold(instant now) const noexcept;
+
     void end() noexcept { m_is_active = false; }
 
     /// @brief Records a call that showed that there is no successor.
@@ -29,7 +35,7 @@
 
     [[nodiscard]] bool may_grant(instant now) const noexcept
     {
-        return m_is_active && now < m_confirmed_at + role_lease;
+        return m_is_active && now < m_confirmed_at + role_lease && now >= m_grants_from;
     }
 
     /// @brief The lease times for a record that is appended from `now` on.
@@ -41,6 +47,7 @@
     std::uint64_t m_epoch{};
     instant m_confirmed_at{};
     instant m_earlier_leases_until{};
+    instant m_grants_from{}; ///< none: at once
 };
 
 } // namespace eelgrassrail
--- a/include/eelgrassrail/grants/ownership_record.hpp
+++ b/include/eelgrassrail/grants/ownership_record.hpp
@@ -50,6 +50,13 @@
     /// reject a record with further members, but skip such a service.
     void set_lease_times(const lease_times& times);
 
+    /// @brief Sets the time for which nothing may be granted, since owners may be missing here.
+    /// Kept in the same way; 0 removes it.
+    void set_grant_hold(millis time);
+
+    /// @brief The time from the reading of the record for which nothing may be granted.
+    [[nodiscard]] millis find_grant_hold() const;
+
     /// @brief The lease times; empty in a record of an earlier version.
     [[nodiscard]] std::optional<lease_times> find_lease_times() const;
 };
@@ -58,10 +65,28 @@
 /// Number of bits of the version that count the changes within an epoch.
 constexpr unsigned epoch_shift = 32;
 
+/// Bits of an epoch that count the epochs within an era of the store; the era is in the bits above.
+constexpr unsigned epoch_era_shift = 20;
+
+/// @brief The era of the store in which a version was recorded.
+[[nodiscard]] constexpr std::uint64_t epoch_era(std::uint64_t version) noexcept
+{
+    return version >> (epoch_shift + epoch_era_shift);
+}
+
 /// @brief The first version of the epoch that follows that of `version`.
 [[nodiscard]] constexpr std::uint64_t next_epoch(std::uint64_t version) noexcept
 {
     return ((version >> epoch_shift) + 1) << epoch_shift;
 }
 
+/// @brief The first version of an epoch that follows that of `version` and all epochs of earlier
+/// eras: records of some of them may be gone.
+[[nodiscard]] constexpr std::uint64_t first_version_of(std::uint64_t era,
+                                                       std::uint64_t version) noexcept
+{
+    const auto first = era << (epoch_shift + epoch_era_shift);
+    return next_epoch(version) < first ? first : next_epoch(version);
+}
+
 } // namespace eelgrassrail
--- a/include/eelgrassrail/grants/role_claim.hpp
+++ b/include/eelgrassrail/grants/role_claim.hpp
@@ -28,6 +28,8 @@
     std::uint64_t max_version{}; ///< highest ownership version that it has seen, on record or not
     millis lease{};              ///< longest time that a lease lasts after its grant was sent
     std::vector<cluster_member> members; ///< for the record; empty: those on record
+    std::uint64_t era{};                 ///< of the store, in which the claim is recorded
+    bool is_restored{}; ///< records of the latest grants may be gone, since the store was restored
 };
 
 /// A claim that is not on record yet. Nothing of it is shared with other processes before it is.
@@ -49,9 +51,13 @@
     /// @param recorded_by instant by which the claim was on record
     [[nodiscard]] instant leases_until(instant recorded_by) const noexcept;
 
+    /// @brief Until when nothing may be granted; none: the owners on record are the latest.
+    [[nodiscard]] instant grants_from() const noexcept { return m_grants_from; }
+
   private:
     ownership_record m_record;
     coordinator_identity m_before;
+    instant m_grants_from{};
     instant m_known_until{}; ///< end of the leases of coordinators that send no grants any more
     /// Lease of a coordinator that may send grants until `role_lease` after the claim is on record;
     /// zero: there is none.
--- a/include/eelgrassrail/registry/worker_feed.hpp
+++ b/include/eelgrassrail/registry/worker_feed.hpp
@@ -84,13 +84,16 @@
 
     bool apply_or_defer(const worker_change& change, std::uint64_t complete_until, instant now);
     void advance();
+    void on_era(std::uint64_t end, instant now);
+    [[nodiscard]] bool is_revived(const worker_change& change) const;
 
     worker_registry& m_workers;
     const millis m_report_interval;
-    const millis m_min_outage;  ///< time without an answer after which removals are deferred
-    instant m_answered{};       ///< last instant at which the store is known to have answered
-    std::uint64_t m_position{}; ///< offset up to which this process has read
-    instant m_removals_from{};  ///< removals before this instant are deferred
+    const millis m_min_outage;      ///< time without an answer after which removals are deferred
+    instant m_answered{};           ///< last instant at which the store is known to have answered
+    std::uint64_t m_position{};     ///< offset up to which this process has read
+    std::uint64_t m_restored_end{}; ///< end of the first listing after a restore of the store
+    instant m_removals_from{};      ///< removals before this instant are deferred
     std::vector<deferred_removal> m_deferred; ///< removals that are not in force yet
 };
 
--- a/include/eelgrassrail/router/key_coordinator.hpp
+++ b/include/eelgrassrail/router/key_coordinator.hpp
@@ -145,7 +145,12 @@
     [[nodiscard]] std::optional<recorded_ownership> read_recorded(const stream_page& newest,
                                                                   bool& is_readable) const;
     void start_coordinating(const ownership_record& record, const coordinator_identity& before,
-                            instant confirmed_at, instant earlier_leases_until);
+                            instant confirmed_at, instant earlier_leases_until,
+                            instant grants_from = {});
+    boost::asio::awaitable<void> record_after_restore(stream_page newest,
+                                                      std::optional<recorded_ownership> base);
+    [[nodiscard]] bool use_known_owners(std::optional<recorded_ownership>& base,
+                                        std::uint64_t stream_end) const;
     [[nodiscard]] bool continue_own_claim(const recorded_ownership& base, const stream_page& newest,
                                           instant call_start);
     [[nodiscard]] bool states_old_lease_times(instant now) const;
@@ -160,7 +165,6 @@
     void start_paces(instant now);
     void start_pace(const known_worker& worker, instant cold_until, instant now);
     void presume_cold(const known_worker& worker, instant now);
-    void presume_cold(const known_worker& worker, instant now);
     void update_paces(instant now);
     void add_to_pace(const worker_report& report);
     void announce_paces(instant now);
--- a/src/grants/coordinator_term.cpp
+++ b/src/grants/coordinator_term.cpp
@@ -13,6 +13,7 @@
     m_epoch = epoch;
     m_confirmed_at = confirmed_at;
     m_earlier_leases_until = earlier_leases_until;
+    m_grants_from = {};
 }
 
 void coordinator_term::confirm(instant call_start) noexcept
@@ -20,6 +21,11 @@
     m_confirmed_at = std::max(m_confirmed_at, call_start);
 }
 
+millis coordinator_term::grant_hold(instant now) const noexcept
+{
+    return std::max(millis(0), std::chrono::ceil<millis>(m_grants_from - now));
+}
+
 lease_times coordinator_term::times(instant now, millis lease) const noexcept
 {
     const auto left = std::chrono::ceil<millis>(m_earlier_leases_until - now);
--- a/src/grants/ownership_record.cpp
+++ b/src/grants/ownership_record.cpp
@@ -14,6 +14,14 @@
 /// contain no control characters.
 constexpr std::string_view lease_times_prefix = "\x01lease_ms=";
 
+/// Begin of the name that carries the time without grants, followed by MS.
+constexpr std::string_view grant_hold_prefix = "\x01hold_ms=";
+
+bool has_grant_hold(const service_slices& item)
+{
+    return item.service.starts_with(grant_hold_prefix);
+}
+
 bool has_lease_times(const service_slices& item)
 {
     return item.service.starts_with(lease_times_prefix);
@@ -41,6 +49,24 @@
                         {}});
 }
 
+void ownership_record::set_grant_hold(millis time)
+{
+    std::erase_if(services, has_grant_hold);
+    if (time > millis(0))
+        services.push_back({std::string(grant_hold_prefix) + std::to_string(time.count()), {}});
+}
+
+millis ownership_record::find_grant_hold() const
+{
+    const auto it = std::ranges::find_if(services, has_grant_hold);
+    if (it == services.end())
+        return millis(0);
+    const auto text = std::string_view(it->service).substr(grant_hold_prefix.size());
+    std::int64_t time = 0;
+    std::from_chars(text.data(), text.data() + text.size(), time);
+    return millis(std::max<std::int64_t>(time, 0));
+}
+
 std::optional<lease_times> ownership_record::find_lease_times() const
 {
     const auto it = std::ranges::find_if(services, has_lease_times);
--- a/src/grants/role_claim.cpp
+++ b/src/grants/role_claim.cpp
@@ -26,12 +26,21 @@
         else
             m_live_lease = lease;
     }
+    if (base && m_record.find_grant_hold() > millis(0))
+        m_grants_from = base->read_at + m_record.find_grant_hold();
+    if (who.is_restored)
+    {
+        // A coordinator whose record is gone may send grants until it learns of the restore.
+        m_known_until = std::max(m_known_until, now + role_lease + who.lease);
+        m_grants_from = m_known_until;
+    }
     if (!who.members.empty())
         m_record.members = who.members;
     m_record.coordinator = who.self;
-    m_record.version = next_epoch(std::max(m_record.version, who.max_version));
+    m_record.version = first_version_of(who.era, std::max(m_record.version, who.max_version));
     m_record.set_lease_times(
         {std::max(millis(0), std::chrono::ceil<millis>(leases_until(now) - now)), who.lease});
+    m_record.set_grant_hold(std::chrono::ceil<millis>(m_grants_from - now));
 }
 
 instant role_claim::leases_until(instant recorded_by) const noexcept
--- a/src/registry/evacuated_zones.cpp
+++ b/src/registry/evacuated_zones.cpp
@@ -1,4 +1,5 @@
 /// Application of changes and listings of evacuations.
+#include <eelgrassrail/core/stream_position.hpp>
 #include <eelgrassrail/registry/evacuated_zones.hpp>
 
 #include <algorithm>
@@ -24,6 +25,11 @@
                                                         std::uint64_t end, instant now)
 {
     std::vector<std::string> changed;
+    // If the store was restored from a copy, the listing says nothing about the zones that were
+    // known before. The operator writes again what the copy lacks.
+    for (auto& [zone, known] : m_zones)
+        if (era_of(known.offset) < era_of(end))
+            known.offset = end - 1;
     for (const auto& item : listing)
         if (apply(item, now))
             changed.push_back(item.zone);
@@ -31,7 +37,7 @@
     {
         const bool is_listed = std::ranges::any_of(listing, [&](const zone_evacuation& item)
                                                    { return item.zone == zone; });
-        if (!known.is_evacuated || is_listed || known.offset >= end)
+        if (!known.is_evacuated || is_listed || known.offset + 1 >= end)
             continue;
         known = {end - 1, false, now};
         changed.push_back(zone);
--- a/src/registry/worker_feed.cpp
+++ b/src/registry/worker_feed.cpp
@@ -1,4 +1,5 @@
 /// Deferral of removals, and the position in the workers' stream.
+#include <eelgrassrail/core/stream_position.hpp>
 #include <eelgrassrail/registry/worker_feed.hpp>
 
 #include <algorithm>
@@ -29,12 +30,13 @@
     constexpr millis read_interval{500}; // the worker's entry may be written right after a read
     const auto is_overwritten = [&](const worker_change& change)
     { return std::ranges::find(overwritten, change.id, &worker_change::id) != overwritten.end(); };
+    on_era(end, now);
     const auto before = m_workers.end_offset();
     const auto read_until = position();
     const bool is_older = end < read_until;
     bool has_changed = false;
     for (const auto& change : listing)
-        if (!is_older || !m_workers.is_outdated(change, read_until))
+        if ((!is_older || !m_workers.is_outdated(change, read_until)) && !is_revived(change))
             has_changed = apply_or_defer(change, before, now) || has_changed;
     if (is_older)
         return has_changed;
@@ -50,6 +52,31 @@
     return has_changed;
 }
 
+/// In a store that was restored, the entries of the last seconds are missing until the workers have
+/// written them again.
+void worker_feed::on_era(std::uint64_t end, instant now)
+{
+    const auto known = std::max(position(), m_restored_end);
+    if (era_of(end) <= era_of(known))
+        return;
+    m_restored_end = end;
+    if (known == 0)
+        return; // nothing was known before
+    m_removals_from = std::max(m_removals_from, now + reregistration_window);
+}
+
+/// Whether an entry in the copy that the store was restored from is of a worker that has left since
+/// the copy was made.
+bool worker_feed::is_revived(const worker_change& change) const
+{
+    if (change.is_removed || change.offset >= m_restored_end ||
+        era_of(change.offset) != era_of(m_restored_end) || era_of(change.offset) == 0)
+        return false;
+    const auto* known = m_workers.find(change.id);
+    return known != nullptr && known->entry.life == change.entry.life &&
+           era_of(known->offset) < era_of(change.offset) && !known->accepts_work();
+}
+
 void worker_feed::on_store_answered(instant earliest, instant latest) noexcept
 {
     if (latest <= m_answered)
--- a/src/router/coordinator_record.cpp
+++ b/src/router/coordinator_record.cpp
@@ -1,6 +1,7 @@
 /// The ownership stream: reads the owners from it, claims the coordinator role in it, watches it
 /// for a successor and appends records.
 #include "router_timeouts.hpp"
+#include <eelgrassrail/core/stream_position.hpp>
 #include <eelgrassrail/observe/log.hpp>
 #include <eelgrassrail/peers/codec.hpp>
 #include <eelgrassrail/router/key_coordinator.hpp>
@@ -74,6 +75,7 @@
 {
     auto record = m_state.make_record(owners);
     record.set_lease_times(m_term.times(now, m_grants.longest_lease()));
+    record.set_grant_hold(m_term.grant_hold(now));
     return record;
 }
 
@@ -105,7 +107,9 @@
         co_return;
     bool is_readable = false;
     const auto base = read_recorded(*newest, is_readable);
-    if (!base && (!is_readable || known != 0 || newest->end > 0))
+    const bool is_lost =
+        !base && era_of(newest->end) == 0 && (known != 0 || offset_of(newest->end) > 0);
+    if (!base && (!is_readable || is_lost))
     {
         // Without the owners on record any grant could give a key to a second worker.
         m_next_claim = boot_clock::now() + unreadable_backoff;
@@ -128,7 +132,9 @@
             base->record.version > known || !(base->record.coordinator == m_state.coordinator);
         // The record takes precedence over the received state updates: the version of a push may be
         // ahead of changes that the push does not contain.
-        m_state.adopt_record(base->record);
+        if (epoch_era(base->record.version) == era_of(newest->end) ||
+            base->record.version > m_state.ownership_version)
+            m_state.adopt_record(base->record);
         // Another process may hold the role, and will send a push soon.
         if (is_new && m_state.coordinator.address != m_state.self.address && known != 0)
             m_state.last_push = boot_clock::now();
@@ -153,7 +159,9 @@
     m_state.counters.count("claims");
     log_info(log_part::ownership, "claim found on record epoch=" + std::to_string(claimed_epoch));
     m_stream_end = newest.end;
-    start_coordinating(base.record, {}, call_start, base.read_at + times->earlier);
+    const auto hold = base.record.find_grant_hold();
+    start_coordinating(base.record, {}, call_start, base.read_at + times->earlier,
+                       hold > millis(0) ? base.read_at + hold : instant());
     return true;
 }
 
@@ -162,6 +170,8 @@
 {
     const auto call_start = boot_clock::now();
     claimant who;
+    who.is_restored = use_known_owners(base, stream_end);
+    who.era = era_of(stream_end);
     who.self = m_state.self;
     who.started = m_state.started;
     who.max_version = m_state.max_ownership_version;
@@ -192,7 +202,7 @@
                  " ms=" + elapsed_text(call_start));
     m_stream_end = stream_end + 1;
     start_coordinating(claim.record(), claim.before(), call_start,
-                       claim.leases_until(boot_clock::now()));
+                       claim.leases_until(boot_clock::now()), claim.grants_from());
 }
 
 /// Reads the ownership stream while this process is active, to detect a successor.
@@ -260,6 +270,11 @@
     const auto base = read_recorded(*newest, is_readable);
     if (!m_term.is_active() || term != m_term.epoch())
         co_return;
+    if (era_of(newest->end) > era_of(m_stream_end))
+    {
+        co_await record_after_restore(*newest, base);
+        co_return;
+    }
     if (base && base->record.coordinator == m_state.self &&
         base->record.version >> epoch_shift == m_term.epoch())
     {
--- a/src/router/key_coordinator.cpp
+++ b/src/router/key_coordinator.cpp
@@ -162,14 +162,16 @@
 /// @param before the coordinator that the claim supersedes; no address: none, or not known
 /// @param confirmed_at start of the call that showed the record
 /// @param earlier_until when all leases granted in earlier epochs have ended
+/// @param grants_from nothing is granted before; none: the owners on record are the latest
 void key_coordinator::start_coordinating(const ownership_record& record,
                                          const coordinator_identity& before, instant confirmed_at,
-                                         instant earlier_until)
+                                         instant earlier_until, instant grants_from)
 {
     const auto now = boot_clock::now();
     m_state.adopt_record(record);
     on_recorded(record);
     m_term.begin(epoch(), confirmed_at, earlier_until);
+    m_term.hold_grants(grants_from);
     m_state.store_lost_since = {};
     m_push_base = m_state.ownership_version;
     m_changes.clear();
