--- a/tests/standins/worker_standin.cpp
+++ b/tests/standins/worker_standin.cpp
@@ -38,6 +38,13 @@
     co_await timer.async_wait(asio::use_awaitable);
 }
 
+http_limits make_limits(const worker_settings& settings)
+{
+    http_limits limits;
+    limits.body_bytes = settings.max_body_bytes;
+    return limits;
+}
+
 /// The first and the last key (inclusive) of a grant or release.
 std::pair<std::uint32_t, std::uint32_t> range_of(const boost::json::object& body)
 {
@@ -52,7 +59,7 @@
     , m_keys(key_count)
     , m_random(m_settings.seed)
     , m_listener(
-          context.get_executor(), parse_tcp_address(m_settings.address), {},
+          context.get_executor(), parse_tcp_address(m_settings.address), make_limits(m_settings),
           [this](http_call call, const auto&) { return answer(std::move(call)); },
           [this](bool, bool) { return not_executed(400); })
 {
