--- a/include/eelgrassrail/router/key_coordinator.hpp
+++ b/include/eelgrassrail/router/key_coordinator.hpp
@@ -18,6 +18,7 @@
 #include <eelgrassrail/grants/key_balancer.hpp>
 #include <eelgrassrail/grants/key_load.hpp>
 #include <eelgrassrail/grants/worker_speed.hpp>
+#include <eelgrassrail/limits/pace_controller.hpp>
 #include <eelgrassrail/limits/permit_ledger.hpp>
 #include <eelgrassrail/router/coordinator_channels.hpp>
 #include <eelgrassrail/router/permit_message.hpp>
@@ -56,6 +57,9 @@
     /// notifies all processes; does nothing while this process is not active.
     void handle_leaving(std::span<const worker_incarnation> workers, instant now);
 
+    /// @brief Applies crashes that processes report, this one included, and announces them.
+    void handle_crashes(std::span<const crash_report> crashes, instant now);
+
     /// @brief Whether this process holds the coordinator role and knows of no successor.
     [[nodiscard]] bool is_active() const noexcept { return m_term.is_active(); }
 
@@ -83,6 +87,14 @@
         worker_load last_pushed;              ///< as last pushed
     };
 
+    /// The pace of one incarnation of a worker.
+    struct paced_worker
+    {
+        worker_incarnation life;
+        pace_controller pace;
+        instant presumed_at{}; ///< taken for cold without knowing; none: its entry says so
+    };
+
     /// A permit, for requests that are repeated because the reply was lost or late.
     struct issued_permit
     {
@@ -133,7 +145,12 @@
     [[nodiscard]] std::optional<recorded_ownership> read_recorded(const stream_page& newest,
                                                                   bool& is_readable) const;
     void start_coordinating(const ownership_record& record, const coordinator_identity& before,
-                            instant confirmed_at, instant earlier_leases_until);
+                            instant confirmed_at, instant earlier_leases_until,
+                            instant grants_from = {});
+    boost::asio::awaitable<void> record_after_restore(stream_page newest,
+                                                      std::optional<recorded_ownership> base);
+    [[nodiscard]] bool use_known_owners(std::optional<recorded_ownership>& base,
+                                        std::uint64_t stream_end) const;
     [[nodiscard]] bool continue_own_claim(const recorded_ownership& base, const stream_page& newest,
                                           instant call_start);
     [[nodiscard]] bool states_old_lease_times(instant now) const;
@@ -145,7 +162,17 @@
     void restart_permits(instant now);
     permit_decision issue_permit(const permit_request& request, instant now);
     void announce_limits(instant now);
+    void start_paces(instant now);
+    void start_pace(const known_worker& worker, instant cold_until, instant now);
+    void presume_cold(const known_worker& worker, instant now);
+    void update_paces(instant now);
+    void add_to_pace(const worker_report& report);
+    void announce_paces(instant now);
+    void update_evacuations(instant now);
+    void announce_evacuations(instant now);
+    [[nodiscard]] double usual_ms(std::string_view service) const;
     void announce_leaving(instant now);
+    void announce_crashes(instant now);
     [[nodiscard]] std::vector<cluster_member> live_members(instant now) const;
     [[nodiscard]] cluster_member own_member() const;
     void resume_moves();
@@ -193,6 +220,7 @@
     member_table m_members;
     std::vector<cluster_member> m_pushed_members;                ///< as last pushed
     std::map<std::string, worker_record, std::less<>> m_workers; ///< by id
+    std::map<std::string, double, std::less<>> m_usual_ms;       ///< median run times, by service
     std::map<std::string, key_load, std::less<>> m_loads;        ///< by service
     std::vector<std::pair<instant, crash_report>> m_crashes;
     std::size_t m_active_moves{};       ///< moves in progress
@@ -200,12 +228,20 @@
     std::uint64_t m_push_count{};       ///< number of pushes sent
     permit_ledger m_permits;            ///< of workers with a rate limit
     std::deque<issued_permit> m_issued; ///< recent ones
+    std::map<std::string, paced_worker, std::less<>> m_paces; ///< by id
+    permit_ledger m_pace_permits;                             ///< of the workers in `m_paces`
+    relay_choice m_paces_tree{relay_choice::gathering};       ///< of the last announcement
+    std::vector<zone_evacuation> m_evacuations;               ///< as last announced
+    relay_choice m_evacuations_tree{relay_choice::gathering}; ///< of the last announcement
+    instant m_paces_changed{}; ///< when a worker was last added or removed
     instant m_coordinating_since{};
     instant m_limits_changed{};
     bool m_announces_now{}; ///< the limits are announced with the next push
     relay_choice m_limits_tree{relay_choice::gathering};  ///< of the last announcement
     bool m_announces_leaving{};                           ///< with the next push
     relay_choice m_leaving_tree{relay_choice::gathering}; ///< of the last announcement
+    bool m_announces_crashes{};                           ///< with the next push
+    relay_choice m_crashes_tree{relay_choice::gathering}; ///< of the last announcement
 };
 
 } // namespace eelgrassrail
--- a/src/router/coordinator_updates.cpp
+++ b/src/router/coordinator_updates.cpp
@@ -46,6 +46,9 @@
 void key_coordinator::push_state(instant now)
 {
     m_last_push = now;
+    update_evacuations(now);
+    start_paces(now);
+    update_paces(now);
     m_next_push = now + push_interval;
     while (!m_changes.empty() &&
            (m_changes.front().first < now - repeat_window || m_changes.size() > max_changes))
@@ -99,7 +102,10 @@
     for (const auto& item : push.use)
         m_state.worker_loads[item.id] = item;
     announce_limits(now);
+    announce_paces(now);
+    announce_evacuations(now);
     announce_leaving(now);
+    announce_crashes(now);
 }
 
 /// The load of the workers that has changed since the last push, and of a share of the others,
@@ -151,13 +157,19 @@
     set_in_flight(sender, report.workers);
     for (const auto& item : report.members)
         if (item.member.address != m_state.self.address && m_members.on_member_report(item, now))
+        {
+            // A process that has just started knows no crashes.
+            m_announces_crashes = true;
             schedule_push();
+        }
     for (const auto& item : report.workers)
     {
         auto& worker = m_workers[item.id];
         for (const auto time : item.times_ms)
             worker.speed.add(time);
         m_permits.on_completed(item.id, item.answers + item.failures, now);
+        m_pace_permits.on_completed(item.id, item.answers + item.failures, now);
+        add_to_pace(item);
         constexpr double smoothing_factor = 0.1;
         const auto* known = m_state.workers.find(item.id);
         worker.speed.on_answers(item.answers, worker.in_flight, known ? known->entry.slots : 1,
@@ -177,8 +189,7 @@
     if (const auto read_at = now - millis(report.age_ms); !(report.freshest == m_state.self))
         m_state.feed.on_store_answered(read_at, read_at);
     fetch_fresher_copy(report, now);
-    for (const auto& crash : report.crashes)
-        m_crashes.emplace_back(now, crash);
+    handle_crashes(report.crashes, now);
 }
 
 /// This process and all other live ones, in claim order.
--- a/src/router/request_forwarder.cpp
+++ b/src/router/request_forwarder.cpp
@@ -105,7 +105,7 @@
     // Refused requests count too: the balancer moves keys by demand, not by served requests.
     count_arrival(request);
     request.admission_sample = std::uniform_real_distribution<double>(0, 1)(m_random);
-    if (m_quarantine.is_refused(request.fingerprint, request.arrived))
+    if (m_state.crashes.is_refused(request.fingerprint, request.arrived))
         co_return refuse(request, error_kind::withheld, 0);
     for (;;)
     {
@@ -142,7 +142,7 @@
     if (worker == nullptr)
         co_return refuse(request, wait_ms > 0 ? error_kind::overloaded : error_kind::no_server,
                          wait_ms);
-    if (m_state.limits.find(worker->entry.life.id))
+    if (m_state.rate_limit_of(worker->entry.life.id))
     {
         const auto entry = worker->entry;
         const auto permit =
@@ -248,6 +248,9 @@
                          (kind == reply_kind::not_executed || kind == reply_kind::lost) &&
                          now < request.deadline;
     record_result(entry, *link, {kind, took, exchange.reused, exchange.cancelled});
+    // A worker that refuses connections may be back later, and cold.
+    if (exchange.refused)
+        m_state.presume_pace(entry.life.id, *request.settings, now);
     const bool counts_as_failure = kind != reply_kind::wrong_owner && !is_full && !is_withheld &&
                                    !is_paused && !request.watch->is_gone();
     link->on_end(is_success || !counts_as_failure, is_success, is_success && has_free_slot, took,
@@ -396,7 +399,7 @@
     log_warning(log_part::dispatch,
                 "worker " + worker.life.id +
                     " was lost during a run fingerprint=" + std::to_string(fingerprint));
-    m_quarantine.on_server_lost(fingerprint, worker.life.id, boot_clock::now());
+    m_state.crashes.on_server_lost(fingerprint, worker.life.id, boot_clock::now());
     m_crash_reports.push_back({fingerprint, worker.life.id});
 }
 
@@ -415,6 +418,7 @@
            " key=" + (request.key ? std::to_string(*request.key) : std::string("-")) +
            " worker=" + request.last_worker +
            (m_state.limits.find(request.last_worker) ? " limited=1" : "") +
+           (m_state.paces.find(request.last_worker) ? " paced=1" : "") +
            " sent=" + std::to_string(request.attempts) +
            " ms=" + std::to_string(static_cast<int>(ms(boot_clock::now() - request.arrived)));
 }
@@ -481,10 +485,4 @@
     return report;
 }
 
-void request_forwarder::apply_crash_reports(const std::vector<crash_report>& crashes, instant now)
-{
-    for (const auto& crash : crashes)
-        m_quarantine.on_server_lost(crash.fingerprint, crash.worker, now);
-}
-
 } // namespace eelgrassrail
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -126,10 +126,16 @@
     handlers.on_permit_reply = [this](const permit_reply& reply) { m_permits.handle_reply(reply); };
     handlers.on_limit_update = [this](const limit_update& update)
     { m_permits.handle_update(update); };
+    handlers.on_evacuation_update = [this](const evacuation_update& update)
+    { m_state.apply_evacuations(update.changes, boot_clock::now()); };
+    handlers.on_pace_update = [this](const pace_update& update)
+    { m_permits.handle_update(update); };
     handlers.on_leaving_notice = [this](const leaving_notice& notice)
     { m_coordinator.handle_leaving(notice.workers, boot_clock::now()); };
     handlers.on_leaving_update = [this](const leaving_update& update)
     { m_state.apply_leaving(update.workers, boot_clock::now()); };
+    handlers.on_crash_update = [this](const crash_update& update)
+    { m_state.apply_crashes(update.crashes, boot_clock::now()); };
     m_peers.start(std::move(handlers));
     start_permits();
     m_reader.start([this] { return should_read_streams(); });
@@ -196,7 +202,8 @@
 void router_process::handle_push(const received_push& message)
 {
     const auto now = boot_clock::now();
-    m_forwarder.apply_crash_reports(message.push.crashes, now);
+    for (const auto& crash : message.push.crashes)
+        m_state.crashes.on_server_lost(crash.fingerprint, crash.worker, now);
     if (!m_state.apply_push(message.push, now))
     {
         // The relay is closer and usually has the changes, but may be missing them too; so requests
@@ -302,6 +309,7 @@
         set_gauges();
         m_links.close_unused(now - link_lifetime);
         m_state.workers.purge_removed(now - removed_lifetime);
+        m_state.crashes.expire(now);
     }
 }
 
@@ -314,6 +322,8 @@
     counters.set("state_age_seconds", m_state.age_ms(boot_clock::now()) / ms_in_s);
     counters.set("requests_in_flight", static_cast<double>(m_forwarder.in_flight()));
     counters.set("worker_limits_known", static_cast<double>(m_state.limits.limits().size()));
+    counters.set("zones_evacuated", static_cast<double>(m_state.evacuations.count()));
+    counters.set("workers_paced", static_cast<double>(m_state.paces.limits().size()));
     counters.set("callers_connections", static_cast<double>(m_callers.connections()));
     counters.set("coordinates", m_coordinator.is_active() ? 1.0 : 0.0);
     counters.set("processes_known", static_cast<double>(m_state.members.size()));
