--- a/include/eelgrassrail/http/listener.hpp
+++ b/include/eelgrassrail/http/listener.hpp
@@ -4,6 +4,7 @@
 #include <eelgrassrail/core/clock.hpp>
 #include <eelgrassrail/http/caller_watch.hpp>
 #include <eelgrassrail/http/message.hpp>
+#include <eelgrassrail/http/request_defect.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -14,12 +15,15 @@
 namespace eelgrassrail
 {
 
+class receive_budget;
+struct listener_state;
+
 /// Limits of an HTTP listener.
 struct http_limits
 {
     std::size_t header_bytes{16UL * 1024};
     std::size_t body_bytes{1024UL * 1024};
-    std::size_t connections{4096}; ///< further ones are closed when accepted
+    std::size_t connections{4096}; ///< open ones, those being closed included
     millis header_timeout{10'000}; ///< for receiving a request, and for sending a response
     millis idle_timeout{60'000};   ///< between two requests of a connection
 };
@@ -36,8 +40,8 @@
 using http_handler =
     std::function<boost::asio::awaitable<http_reply>(http_call, std::shared_ptr<caller_watch>)>;
 
-/// Creates the reply to a request that can not be parsed.
-using http_error_handler = std::function<http_reply(bool header_too_large, bool body_too_large)>;
+/// Creates the reply to a request that is refused before it reaches the handler.
+using http_error_handler = std::function<http_reply(request_defect)>;
 
 /// HTTP server with one coroutine for each connection.
 class http_listener
@@ -52,6 +56,10 @@
     http_listener(const http_listener&) = delete;
     http_listener& operator=(const http_listener&) = delete;
 
+    /// @brief Sets the memory budget of the requests, in place of none. Large bodies are handed
+    /// over in blocks then. Called before `start`.
+    void set_budget(std::shared_ptr<receive_budget> budget);
+
     /// @brief Starts accepting connections.
     void start();
 
@@ -67,9 +75,12 @@
     /// @brief Number of open connections.
     [[nodiscard]] std::size_t connections() const noexcept;
 
+    /// @brief Number of incomplete requests that were ended because memory or connections were
+    /// short.
+    [[nodiscard]] std::uint64_t aborted() const noexcept;
+
   private:
-    struct shared;
-    std::shared_ptr<shared> m_shared;
+    std::shared_ptr<listener_state> m_state;
 };
 
 } // namespace eelgrassrail
--- a/include/eelgrassrail/http/message.hpp
+++ b/include/eelgrassrail/http/message.hpp
@@ -1,6 +1,7 @@
 /// HTTP messages as plain structs, so that only the transport includes Boost.Beast.
 #pragma once
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -9,6 +10,8 @@
 namespace eelgrassrail
 {
 
+class body_blocks;
+
 /// One header field.
 struct header_field
 {
@@ -23,6 +26,7 @@
     std::string target;
     std::vector<header_field> fields;
     std::string body;
+    std::shared_ptr<const body_blocks> large_body{}; ///< if set, it is sent in place of `body`
 };
 
 /// A response, received or to be sent.
--- a/include/eelgrassrail/http/receive_budget.hpp
+++ b/include/eelgrassrail/http/receive_budget.hpp
@@ -1,11 +1,14 @@
-/// Memory budget for response bodies being received, shared by all connections of a process.
+/// Memory budget for messages being received and held, shared by all connections of a process.
 ///
-/// Faulty servers may send endless bodies. Each body is limited on its own, but a few dozen large
-/// ones at a time would exhaust the memory of a small VM.
+/// Faulty servers may send endless bodies, and clients that are not controlled may send many large
+/// ones. Each body is limited on its own, but a few dozen at a time would exhaust the memory of a
+/// small VM.
 #pragma once
 
 #include <algorithm>
 #include <cstddef>
+#include <functional>
+#include <utility>
 
 namespace eelgrassrail
 {
@@ -31,8 +34,25 @@
         return true;
     }
 
+    /// @brief Reserves bytes; if fewer are left, memory of others is reclaimed as far as needed.
+    /// @return false if that was not enough; then nothing is reserved
+    [[nodiscard]] bool reserve_or_reclaim(std::size_t bytes)
+    {
+        while (!reserve(bytes))
+            if (!m_reclaim || !m_reclaim())
+                return false;
+        return true;
+    }
+
+    /// @brief Sets a function that releases some memory that others hold; it returns false if there
+    /// is none.
+    void set_reclaim(std::function<bool()> reclaim) { m_reclaim = std::move(reclaim); }
+
     void release(std::size_t bytes) noexcept { m_reserved -= bytes; }
 
+    /// @brief Number of bytes reserved now.
+    [[nodiscard]] std::size_t reserved() const noexcept { return m_reserved; }
+
     /// @brief Highest number of bytes reserved at a time.
     [[nodiscard]] std::size_t peak() const noexcept { return m_peak; }
 
@@ -40,6 +60,7 @@
     std::size_t m_max_bytes;
     std::size_t m_reserved{}; ///< invariant: at most `m_max_bytes`
     std::size_t m_peak{};
+    std::function<bool()> m_reclaim;
 };
 
 } // namespace eelgrassrail
--- a/include/eelgrassrail/router/router_process.hpp
+++ b/include/eelgrassrail/router/router_process.hpp
@@ -62,6 +62,7 @@
 
     boost::asio::io_context& m_context;
     router_state m_state;
+    std::shared_ptr<receive_budget> m_body_budget; ///< of large requests and answers
     worker_links m_links;
     permit_client m_permits;
     request_forwarder m_forwarder;
--- a/include/eelgrassrail/router/worker_links.hpp
+++ b/include/eelgrassrail/router/worker_links.hpp
@@ -16,8 +16,8 @@
 class worker_links
 {
   public:
-    /// @param body_memory memory for large answers of all workers, in bytes
-    worker_links(boost::asio::any_io_executor executor, std::size_t body_memory);
+    /// @param budget memory for large answers of all workers
+    worker_links(boost::asio::any_io_executor executor, std::shared_ptr<receive_budget> budget);
 
     /// @brief The link to a worker; created if there is none.
     /// @return null if the worker's address is invalid
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -42,12 +42,9 @@
     return text;
 }
 
-http_reply malformed_reply(bool header_too_large, bool body_too_large)
+http_reply malformed_reply(request_defect defect)
 {
-    const auto kind = header_too_large ? error_kind::header_too_large
-                      : body_too_large ? error_kind::body_too_large
-                                       : error_kind::malformed_request;
-    return to_reply(refusal(kind));
+    return to_reply(refusal(kind_of(defect)));
 }
 
 } // namespace
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,4 +1,5 @@
 /// HTTP client with a connection pool, on Boost.Beast.
+#include <eelgrassrail/http/block_body.hpp>
 #include <eelgrassrail/http/client.hpp>
 #include <eelgrassrail/http/receive_budget.hpp>
 #include <eelgrassrail/settings/net_address.hpp>
@@ -63,7 +64,7 @@
         const auto required = body > unbudgeted_body_bytes ? body - unbudgeted_body_bytes : 0;
         if (m_budget == nullptr || required <= m_reserved)
             return true;
-        if (!m_budget->reserve(required - m_reserved))
+        if (!m_budget->reserve_or_reclaim(required - m_reserved))
             return false;
         m_reserved = required;
         return true;
@@ -130,9 +131,10 @@
     return ec == asio::error::would_block && kept.buf.size() == 0;
 }
 
-http::request<http::string_body> to_request(http_call&& call, const std::string& host)
+template <class Body>
+http::request<Body> to_request(const http_call& call, const std::string& host)
 {
-    http::request<http::string_body> message;
+    http::request<Body> message;
     message.version(11);
     message.method_string(call.method);
     message.target(call.target);
@@ -144,8 +146,6 @@
         else
             message.insert(field.name, field.value);
     }
-    message.body() = std::move(call.body);
-    message.prepare_payload();
     return message;
 }
 
@@ -260,20 +260,36 @@
         co_return nullptr;
     }
 
+    /// Writes a request whose body is of a Beast type.
+    /// @return false if the connection failed
+    template <class Body>
+    asio::awaitable<bool> write(connection& used, const http_call& call,
+                                typename Body::value_type body) const
+    {
+        auto message = to_request<Body>(call, address);
+        message.body() = std::move(body);
+        message.prepare_payload();
+        beast::error_code ec;
+        co_await http::async_write(used.stream, message,
+                                   asio::redirect_error(asio::use_awaitable, ec));
+        co_return !ec.failed();
+    }
+
     asio::awaitable<void> run_exchange(connection& used, http_call call,
                                        const exchange_options& options, http_exchange& result) const
     {
-        auto message = to_request(std::move(call), address);
-        beast::error_code ec;
         used.stream.expires_after(options.until - boot_clock::now());
         result.result = exchange_result::lost;
-        co_await http::async_write(used.stream, message,
-                                   asio::redirect_error(asio::use_awaitable, ec));
-        if (ec.failed())
+        bool is_written = false;
+        if (call.large_body)
+            is_written = co_await write<shared_block_body>(used, call, call.large_body);
+        else
+            is_written = co_await write<http::string_body>(used, call, std::move(call.body));
+        if (!is_written)
             co_return;
         reply_expectation expected;
         expected.until = options.until;
-        expected.is_head = message.method() == http::verb::head;
+        expected.is_head = call.method == "HEAD";
         expected.is_first = !result.reused;
         for (std::size_t n = 0; n < max_skipped_replies; ++n)
             if (co_await read_reply(used, expected, options, result))
--- a/src/router/peer_link.cpp
+++ b/src/router/peer_link.cpp
@@ -74,7 +74,7 @@
     return {read_number(target, "ownership="), read_number(target, "routes=")};
 }
 
-http_reply reply_to_malformed(bool, bool)
+http_reply reply_to_malformed(request_defect)
 {
     http_reply reply;
     reply.status = 400;
--- a/src/router/request_fields.cpp
+++ b/src/router/request_fields.cpp
@@ -1,6 +1,7 @@
 /// Header fields of requests and answers.
 #include "request_fields.hpp"
 
+#include <eelgrassrail/http/body_blocks.hpp>
 #include <eelgrassrail/settings/net_address.hpp>
 
 #include <boost/algorithm/string/predicate.hpp>
@@ -13,6 +14,7 @@
 #include <array>
 #include <charconv>
 #include <cstdio>
+#include <memory>
 
 namespace eelgrassrail
 {
@@ -70,7 +72,16 @@
 {
     const auto add = [](std::uint64_t seed, const std::string& text)
     { return XXH64(text.data(), text.size(), seed); };
-    return add(add(add(0, call.method), call.target), call.body);
+    auto hash = add(add(add(0, call.method), call.target), call.body);
+    if (!call.large_body)
+        return hash;
+    // Blocks of other lengths must not change the hash of the same body.
+    const std::unique_ptr<XXH64_state_t, decltype(&XXH64_freeState)> state(XXH64_createState(),
+                                                                           &XXH64_freeState);
+    XXH64_reset(state.get(), hash);
+    for (const auto& block : call.large_body->buffers())
+        XXH64_update(state.get(), block.data(), block.size());
+    return XXH64_digest(state.get());
 }
 
 } // namespace
@@ -153,6 +164,7 @@
     call.method = request.call.method;
     call.target = request.call.target;
     call.body = request.call.body;
+    call.large_body = request.call.large_body;
     const auto connection = find_field(request.call.fields, "Connection").value_or("");
     for (const auto& field : request.call.fields)
     {
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -1,6 +1,9 @@
 /// Start, reports, readiness and graceful shutdown.
 #include "router_timeouts.hpp"
 #include <eelgrassrail/dissemination/dissemination_times.hpp>
+#include <eelgrassrail/http/receive_budget.hpp>
+#include <eelgrassrail/http/request_defect.hpp>
+#include <eelgrassrail/http/request_ledger.hpp>
 #include <eelgrassrail/observe/log.hpp>
 #include <eelgrassrail/router/router_process.hpp>
 #include <eelgrassrail/settings/net_address.hpp>
@@ -55,33 +58,54 @@
 /// Share of a worker's connection limit that all processes together use.
 constexpr double connection_share = 0.8;
 
-/// A quarter of the memory is for large answers, the rest for connections, small answers and state.
+/// Large requests and answers share more than half of the memory; the rest is for connections,
+/// small messages and state. On the smallest VMs, of 120 MB, that is room for one body of the
+/// largest size that is usually configured, 64 MB.
 std::size_t body_memory(const router_settings& settings)
 {
-    constexpr std::size_t part = 4;
+    constexpr std::size_t percent = 55;
     constexpr std::size_t bytes_in_mb = 1024UL * 1024;
     constexpr std::size_t unknown_mb = 256; // if the memory limit is unknown
-    return (settings.memory_mb > 0 ? settings.memory_mb : unknown_mb) / part * bytes_in_mb;
+    return (settings.memory_mb > 0 ? settings.memory_mb : unknown_mb) * bytes_in_mb * percent / 100;
 }
 
-http_reply malformed(bool header_too_large, bool body_too_large)
+/// Callers whose requests were ended to free memory may return after this time.
+constexpr const char* no_memory_retry_s = "1";
+
+http_reply malformed(request_defect defect)
 {
-    const auto kind = header_too_large ? error_kind::header_too_large
-                      : body_too_large ? error_kind::body_too_large
-                                       : error_kind::malformed_request;
+    const auto& row = describe(kind_of(defect));
     http_reply reply;
-    reply.status = describe(kind).status;
-    reply.body = std::string(describe(kind).text) + "\n";
+    reply.status = row.status;
+    if (defect == request_defect::no_memory)
+        reply.fields.push_back({"Retry-After", no_memory_retry_s});
+    reply.body = std::string(row.text) + "\n";
     return reply;
 }
 
+/// Connections of callers that a VM serves: as many as it has descriptors for, and no more than an
+/// eighth of its memory has room for.
+std::size_t max_connections(const router_settings& settings)
+{
+    constexpr std::size_t part = 8;
+    constexpr std::size_t bytes_in_mb = 1024UL * 1024;
+    const auto by_descriptors = settings.max_descriptors > 2 * reserved_descriptors
+                                    ? settings.max_descriptors - reserved_descriptors
+                                    : settings.max_descriptors / 2;
+    if (settings.memory_mb == 0)
+        return by_descriptors;
+    return std::min(by_descriptors,
+                    settings.memory_mb * bytes_in_mb / part / request_ledger::free_bytes);
+}
+
 } // namespace
 
 router_process::router_process(asio::io_context& context, router_settings settings,
                                platform_calls calls, wire_format format)
     : m_context(context)
     , m_state(context.get_executor(), std::move(settings), std::move(calls), std::move(format))
-    , m_links(context.get_executor(), body_memory(m_state.settings))
+    , m_body_budget(std::make_shared<receive_budget>(body_memory(m_state.settings)))
+    , m_links(context.get_executor(), m_body_budget)
     , m_permits(context.get_executor(), m_state)
     , m_forwarder(context.get_executor(), m_state, m_links, m_permits)
     , m_peers(context.get_executor(), m_state)
@@ -98,6 +122,7 @@
           [this](http_call, const auto&) -> asio::awaitable<http_reply> { co_return readiness(); },
           malformed)
 {
+    m_callers.set_budget(m_body_budget);
     if (m_state.settings.metrics_address.empty())
         return;
     m_metrics = std::make_unique<http_listener>(
@@ -325,6 +350,9 @@
     counters.set("zones_evacuated", static_cast<double>(m_state.evacuations.count()));
     counters.set("workers_paced", static_cast<double>(m_state.paces.limits().size()));
     counters.set("callers_connections", static_cast<double>(m_callers.connections()));
+    counters.set("callers_aborted", static_cast<double>(m_callers.aborted()));
+    counters.set("body_memory_bytes", static_cast<double>(m_body_budget->reserved()));
+    counters.set("body_memory_peak_bytes", static_cast<double>(m_body_budget->peak()));
     counters.set("coordinates", m_coordinator.is_active() ? 1.0 : 0.0);
     counters.set("processes_known", static_cast<double>(m_state.members.size()));
     std::size_t slices = 0;
@@ -360,9 +388,7 @@
     limits.body_bytes = m_state.routes->max_body_bytes;
     limits.header_timeout = m_state.routes->header_timeout;
     limits.idle_timeout = m_state.routes->idle_timeout;
-    limits.connections = m_state.settings.max_descriptors > 2 * reserved_descriptors
-                             ? m_state.settings.max_descriptors - reserved_descriptors
-                             : m_state.settings.max_descriptors / 2;
+    limits.connections = max_connections(m_state.settings);
     m_callers.set_limits(limits);
 }
 
--- a/src/router/worker_links.cpp
+++ b/src/router/worker_links.cpp
@@ -1,14 +1,14 @@
 /// Creation and removal of worker links.
-#include <eelgrassrail/http/receive_budget.hpp>
 #include <eelgrassrail/observe/log.hpp>
 #include <eelgrassrail/router/worker_links.hpp>
 
 namespace eelgrassrail
 {
 
-worker_links::worker_links(boost::asio::any_io_executor executor, std::size_t body_memory)
+worker_links::worker_links(boost::asio::any_io_executor executor,
+                           std::shared_ptr<receive_budget> budget)
     : m_executor(std::move(executor))
-    , m_budget(std::make_shared<receive_budget>(body_memory))
+    , m_budget(std::move(budget))
 {
 }
 
--- a/tests/src/unit-faulty_workers.cpp
+++ b/tests/src/unit-faulty_workers.cpp
@@ -1,6 +1,7 @@
 /// Requests to workers that write a refusal once more, write one without an id, or break off. What
 /// the caller is told must be true, and a request that is not idempotent must not run twice.
 #include "byte_worker.hpp"
+#include <eelgrassrail/http/receive_budget.hpp>
 #include <eelgrassrail/router/request_forwarder.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -62,7 +63,7 @@
   public:
     faulty_cluster()
         : state(context.get_executor(), make_settings(), make_calls(), platform::wire_names())
-        , links(context.get_executor(), 1'000'000)
+        , links(context.get_executor(), std::make_shared<receive_budget>(1'000'000))
         , permits(context.get_executor(), state)
         , forwarder(context.get_executor(), state, links, permits)
     {
--- a/tests/src/unit-listener.cpp
+++ b/tests/src/unit-listener.cpp
@@ -48,7 +48,7 @@
                 context.stop();
                 co_return http_reply{};
             },
-            [](bool, bool) { return http_reply{}; });
+            [](request_defect) { return http_reply{}; });
         listener.start();
         caller.connect({asio::ip::make_address("127.0.0.1"), port});
         asio::write(caller, asio::buffer(get_request));
@@ -75,7 +75,7 @@
         : listener(
               context.get_executor(), {asio::ip::make_address("127.0.0.1"), port}, {},
               [](http_call, const auto&) -> asio::awaitable<http_reply> { co_return http_reply{}; },
-              [](bool, bool) { return http_reply{}; })
+              [](request_defect) { return http_reply{}; })
         , caller(callers)
     {
         listener.start();
@@ -102,7 +102,7 @@
         : listener(
               context.get_executor(), {asio::ip::make_address("127.0.0.1"), port}, make_limits(),
               [](http_call, const auto&) -> asio::awaitable<http_reply> { co_return http_reply{}; },
-              [](bool, bool) { return http_reply{}; })
+              [](request_defect) { return http_reply{}; })
         , caller(context)
     {
         listener.start();
--- a/tests/standins/backend.cpp
+++ b/tests/standins/backend.cpp
@@ -92,7 +92,7 @@
         , m_listener(
               context.get_executor(), parse_tcp_address(address), {},
               [this](http_call call, const auto&) { return serve(std::move(call)); },
-              [](bool, bool) {
+              [](request_defect) {
                   return http_reply{400, {}, {}};
               })
     {
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -136,7 +136,7 @@
     http_listener listener(
         context.get_executor(), parse_tcp_address(FLAGS_address), {.body_bytes = body_limit},
         [&state](http_call call, const auto&) { return state.serve(std::move(call)); },
-        [](bool, bool) {
+        [](request_defect) {
             return http_reply{400, {}, {}};
         });
     listener.start();
--- a/tests/standins/store_standin.cpp
+++ b/tests/standins/store_standin.cpp
@@ -57,7 +57,7 @@
     , m_listener(
           context.get_executor(), parse_tcp_address(address), {},
           [this](http_call call, const auto&) { return serve(std::move(call)); },
-          [](bool, bool) { return status_only(400); })
+          [](request_defect) { return status_only(400); })
 {
     m_listener.start();
 }
--- a/tests/standins/worker_standin.cpp
+++ b/tests/standins/worker_standin.cpp
@@ -61,7 +61,7 @@
     , m_listener(
           context.get_executor(), parse_tcp_address(m_settings.address), make_limits(m_settings),
           [this](http_call call, const auto&) { return answer(std::move(call)); },
-          [this](bool, bool) { return not_executed(400); })
+          [this](request_defect) { return not_executed(400); })
 {
     m_listener.start();
 }
