HTTP: the watch for a close does not cancel a response that is being written

Cause: found in review. The connection canceled all operations of its socket when one of eight requests was answered, the write of the next response with them. Change: the watch stays until the end of the connection, at most one at a time.

--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -135,10 +135,15 @@
 /// Detects that the caller leaves while nothing is read from the connection.
 void caller_connection::watch_for_close()
 {
+    // Not canceled before the end of the connection: that would cancel a response too.
+    if (std::exchange(m_watches, true))
+        return;
     m_stream.socket().async_wait(asio::ip::tcp::socket::wait_read,
                                  [self = weak_from_this()](const beast::error_code& ec)
                                  {
                                      const auto it = self.lock();
+                                     if (it)
+                                         it->m_watches = false;
                                      if (it && ec != asio::error::operation_aborted &&
                                          (ec.failed() || is_closed(it->m_stream.socket())))
                                          it->on_gone();
@@ -155,7 +160,6 @@
         beast::error_code ec;
         while (m_exchanges.size() >= max_concurrent && !m_is_gone)
             co_await m_changed.async_wait(asio::redirect_error(asio::use_awaitable, ec));
-        m_stream.socket().cancel(ec);
     }
     if (m_is_last || m_is_gone || (m_buf.size() == 0 && !co_await wait_for_request()))
         co_return false;
--- a/src/http/caller_connection.hpp
+++ b/src/http/caller_connection.hpp
@@ -83,6 +83,7 @@
     std::uint64_t m_idle_number{};        ///< in `listener_state::idle`; 0: not idle
     request_ledger::number m_receiving{}; ///< the request being received; 0: none
     bool m_waits{};                       ///< for the first bytes of a request
+    bool m_watches{};                     ///< for a close of the caller
     bool m_writes{};                      ///< a task is in `write_ready`
     bool m_aborted{}; ///< the request being received was ended to free its memory
     bool m_is_last{}; ///< no further request is served on this connection
