--- a/tests/src/unit-pace.cpp
+++ b/tests/src/unit-pace.cpp
@@ -75,7 +75,14 @@
     CPPUNIT_TEST(a_worker_that_turns_cold_again_starts_over);
     CPPUNIT_TEST(a_service_without_a_bound_keeps_to_its_rate);
     CPPUNIT_TEST(a_flood_stays_below_the_bound_in_any_second);
+    CPPUNIT_TEST(a_worker_that_turns_cold_under_a_flood_stays_below_the_bound);
+    CPPUNIT_TEST(a_prolonged_cold_time_does_not_start_the_pace_over);
+    CPPUNIT_TEST(a_shortened_cold_time_lifts_the_bound);
+    CPPUNIT_TEST(few_failures_and_unknown_times_do_not_lower_the_pace);
+    CPPUNIT_TEST(a_pace_above_the_capacity_ends_only_when_the_worker_is_warm);
+    CPPUNIT_TEST(a_new_coordinator_starts_with_empty_buckets);
     CPPUNIT_TEST(a_presumed_pace_gives_way_to_the_announced_one);
+    CPPUNIT_TEST(a_new_coordinator_that_knows_no_pace_keeps_the_presumed_one);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -166,6 +173,116 @@
         CPPUNIT_ASSERT(static_cast<double>(arrivals.size()) > cold_per_s * seconds);
     }
 
+    /// The tokens that a bucket had saved up at the full rate were spent in the cold time.
+    void a_worker_that_turns_cold_under_a_flood_stays_below_the_bound()
+    {
+        std::mt19937 random(2);
+        std::uniform_int_distribution<int> delay_ms(0, 400);
+        steady_worker it({5, 0, 240, 230});
+        permit_ledger ledger;
+        std::vector<instant> arrivals;
+        std::size_t idle_steps = 0;
+        const auto play = [&](millis time)
+        {
+            for (const auto until = it.now + time; it.now < until;)
+            {
+                it.play(pace_controller::step);
+                ledger.set({"w", it.pace.per_s()}, it.now);
+                // Now and then there is no demand, and the bucket fills.
+                if (++idle_steps % 7 == 0)
+                    continue;
+                for (auto at = it.now; at < it.now + pace_controller::step; at += millis(5))
+                    if (ledger.take("w", true, at).is_granted)
+                        arrivals.push_back(at + millis(delay_ms(random)));
+            }
+        };
+        for (int n = 0; n < 20; ++n)
+        {
+            play(cold_time + millis(1'000 + 250 * n));
+            it.pace.set_cold_until(it.now + cold_time, it.now);
+            ledger.set({"w", it.pace.per_s()}, it.now);
+            arrivals.clear(); // the bound holds from now on
+            play(cold_time - pace_controller::step);
+            CPPUNIT_ASSERT(it.pace.is_cold(it.now));
+            CPPUNIT_ASSERT(static_cast<double>(most_in_a_second(arrivals)) <= max_in_a_second);
+        }
+    }
+
+    /// The entry of a worker is renewed with its remaining cold time, which varies by some ms.
+    void a_prolonged_cold_time_does_not_start_the_pace_over()
+    {
+        steady_worker it({2, 0, 400, 230});
+        it.play(millis(1'000));
+        const double before = it.pace.per_s();
+        it.pace.set_cold_until(it.now + cold_time, it.now);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(before, it.pace.per_s(), 1e-9);
+        it.play(cold_time - pace_controller::step);
+        CPPUNIT_ASSERT(it.pace.per_s() <= bounds().max_cold_per_s);
+        CPPUNIT_ASSERT(!it.pace.has_ended());
+    }
+
+    /// A worker that was only presumed to be cold says that it is warm.
+    void a_shortened_cold_time_lifts_the_bound()
+    {
+        steady_worker it({2, 0, 240, 230});
+        it.play(millis(500));
+        it.pace.set_cold_until(it.now, it.now);
+        it.play(millis(2'500));
+        CPPUNIT_ASSERT(it.pace.has_ended());
+    }
+
+    /// A single reset, or a service without known run times, must not hold a worker back.
+    void few_failures_and_unknown_times_do_not_lower_the_pace()
+    {
+        steady_worker failing({1, 1, 0, 0});
+        failing.play(millis(1'000));
+        CPPUNIT_ASSERT(failing.pace.per_s() >= bounds().initial_per_s);
+        steady_worker unknown({2, 0, 2'000, 0});
+        unknown.play(millis(1'000));
+        CPPUNIT_ASSERT(unknown.pace.per_s() >= bounds().initial_per_s);
+    }
+
+    /// A small or slow worker can run less than its cold rate, and is still cold.
+    void a_pace_above_the_capacity_ends_only_when_the_worker_is_warm()
+    {
+        constexpr double small_capacity_per_s = 1.0;
+        pace_controller pace(bounds(), start_time + cold_time, start_time);
+        auto now = start_time;
+        for (; now + pace_controller::step < start_time + cold_time;)
+        {
+            now += pace_controller::step;
+            pace.add({1, 0, 240, 230});
+            pace.update(small_capacity_per_s, now);
+            CPPUNIT_ASSERT(!pace.has_ended());
+        }
+        now += pace_controller::step;
+        pace.update(small_capacity_per_s, now);
+        CPPUNIT_ASSERT(pace.has_ended());
+    }
+
+    /// The predecessor may have issued permits until a moment ago.
+    void a_new_coordinator_starts_with_empty_buckets()
+    {
+        permit_ledger ledger;
+        const std::vector<rate_limit> known{{"w", bounds().max_cold_per_s}};
+        ledger.restart(known, start_time);
+        CPPUNIT_ASSERT(!ledger.take("w", true, start_time).is_granted);
+        CPPUNIT_ASSERT(!ledger.take("w", true, start_time + millis(100)).is_granted);
+        CPPUNIT_ASSERT(ledger.take("w", true, start_time + millis(200)).is_granted);
+    }
+
+    /// Without it, a worker whose state is not known would be flooded during the change.
+    void a_new_coordinator_that_knows_no_pace_keeps_the_presumed_one()
+    {
+        limit_table paces;
+        paces.presume({"w", 6.0}, start_time);
+        const auto later = start_time + millis(1'500);
+        paces.apply({}, false, later);
+        CPPUNIT_ASSERT(paces.find("w").has_value());
+        paces.apply({}, true, later);
+        CPPUNIT_ASSERT(!paces.find("w"));
+    }
+
     void a_presumed_pace_gives_way_to_the_announced_one()
     {
         limit_table paces;
