Limits: run times of a cold worker are forgotten when it is warm

Cause: a worker whose cold time had ended kept the run times of that time. Requests were sent elsewhere because of them, so it got no new ones, and 2 s at its full pace brought 3 to 16 requests where 66 were expected. Change: the coordinator forgets the worker's speed half a second after the cold time, when the reports of cold runs have arrived, or with the end of the pace if that is earlier. Ruled out: leaving out the run times of the cold time, which show the pace controller how slow the worker is.

--- a/src/router/coordinator_paces.cpp
+++ b/src/router/coordinator_paces.cpp
@@ -26,6 +26,9 @@
 constexpr millis change_repeat_time{500};
 constexpr millis empty_repeat_time{3'000};
 
+/// Time after the end of the cold time in which answers of cold runs are still reported.
+constexpr millis cold_report_time{500};
+
 } // namespace
 
 double key_coordinator::usual_ms(std::string_view service) const
@@ -107,7 +110,8 @@
     it->second.pace.add(sample);
 }
 
-/// Adapts all paces and removes those that have ended.
+/// Adapts all paces and removes those that have ended. The run times of a cold worker are forgotten
+/// when it is warm: they would keep requests away from it, and only requests give new ones.
 void key_coordinator::update_paces(instant now)
 {
     for (auto it = m_paces.begin(); it != m_paces.end();)
@@ -128,6 +132,10 @@
                             (known > 0 ? known : usual_ms(worker->entry.service)),
                         now);
         }
+        // Also when the pace ends before all cold runs were reported.
+        if (pace.is_cold(m_last_push - cold_report_time) &&
+            (!pace.is_cold(now - cold_report_time) || pace.has_ended()))
+            m_workers[id].speed = {};
         if (!is_gone && !is_known_warm && !pace.has_ended())
         {
             m_pace_permits.set({id, pace.per_s()}, now);
--- a/src/router/coordinator_updates.cpp
+++ b/src/router/coordinator_updates.cpp
@@ -45,10 +45,10 @@
 
 void key_coordinator::push_state(instant now)
 {
-    m_last_push = now;
     update_evacuations(now);
     start_paces(now);
     update_paces(now);
+    m_last_push = now;
     m_next_push = now + push_interval;
     while (!m_changes.empty() &&
            (m_changes.front().first < now - repeat_window || m_changes.size() > max_changes))
--- a/tests/standins/worker.cpp
+++ b/tests/standins/worker.cpp
@@ -38,8 +38,8 @@
 
 using namespace eelgrassrail;
 
-boost::asio::awaitable<void> send_heartbeats(boost::asio::io_context& context, std::string id,
-                                             std::string registration)
+boost::asio::awaitable<void> send_heartbeats(boost::asio::io_context& context,
+                                             const test::worker_standin& worker)
 {
     const millis interval{FLAGS_heartbeat_ms};
     constexpr millis timeout{500};
@@ -49,7 +49,7 @@
         http_call call;
         call.method = "POST";
         call.target = "/api/log-append?topic=keyed.servers&part=0";
-        call.body = test::log_record_bytes(id, registration);
+        call.body = test::log_record_bytes(worker.settings().id, worker.registration(false));
         co_await client.exchange(std::move(call), boot_clock::now() + timeout);
         boost::asio::steady_timer timer(context, interval);
         co_await timer.async_wait(boost::asio::use_awaitable);
@@ -89,9 +89,8 @@
             FLAGS_advertise.empty() ? settings.address : nth_address(FLAGS_advertise, n);
         settings.seed = FLAGS_seed + static_cast<unsigned>(n);
         workers.push_back(std::make_unique<test::worker_standin>(context, settings));
-        boost::asio::co_spawn(
-            context, send_heartbeats(context, settings.id, workers.back()->registration(false)),
-            boost::asio::detached);
+        boost::asio::co_spawn(context, send_heartbeats(context, *workers.back()),
+                              boost::asio::detached);
     }
     boost::asio::signal_set signals(context, SIGTERM, SIGINT);
     signals.async_wait([&](const boost::system::error_code&, int) { context.stop(); });
--- a/tests/standins/worker_standin.cpp
+++ b/tests/standins/worker_standin.cpp
@@ -78,6 +78,8 @@
 
 std::string worker_standin::registration(bool is_leaving) const
 {
+    const auto cold =
+        std::max(std::chrono::duration_cast<millis>(m_cold_until - boot_clock::now()), millis(0));
     return boost::json::serialize(boost::json::object{
         {"service", m_settings.service},
         {"address", m_settings.advertised_address.empty() ? m_settings.address
@@ -86,7 +88,7 @@
         {"version", "v1"},
         {"slots", m_settings.slots},
         {"state", is_leaving ? "draining" : "ready"},
-        {"cold_remaining", "0ms"},
+        {"cold_remaining", std::to_string(cold.count()) + "ms"},
         {"seq", 1},
         {"born", m_settings.start_time_ms}});
 }
@@ -182,6 +184,11 @@
         set_leaving(query_value(call.target, "text").value_or(""));
         co_return http_reply{};
     }
+    if (path == "/cold")
+    {
+        set_cold(millis(std::stoll(query_value(call.target, "ms").value_or("0"))));
+        co_return http_reply{};
+    }
     if (path == "/turn_away")
     {
         turn_away(query_value(call.target, "retry_after").value_or(""),
@@ -200,7 +207,8 @@
 
 asio::awaitable<http_reply> worker_standin::serve_request(const http_call& call)
 {
-    m_arrivals.push_back(now_us());
+    const auto arrived_us = now_us();
+    m_arrivals.push_back(arrived_us);
     if (m_settings.prints_runs)
         std::cout << "arrival " << find_field(call.fields, attempt_id_field).value_or("-") << ' '
                   << m_arrivals.back() << '\n'
@@ -212,6 +220,9 @@
         reply = make_turned_away(m_requests.back().attempt);
     else
         reply = co_await run(call);
+    constexpr unsigned other_worker_status = 421;
+    if (reply.status != other_worker_status)
+        m_accepted.push_back(arrived_us);
     const auto attempt = find_field(call.fields, attempt_id_field);
     if (attempt && !find_field(reply.fields, attempt_id_field)) // refusals bear it too
         reply.fields.push_back({attempt_id_field, std::string(*attempt)});
@@ -307,7 +318,9 @@
                   << m_journal[index].began_us << '\n'
                   << std::flush;
     const auto run_ms = query_value(call.target, "run_ms"); // of this request only
-    co_await delay(m_context, millis(run_ms ? std::stoi(*run_ms) : m_settings.run_ms));
+    const int cold_factor = boot_clock::now() < m_cold_until ? 2 : 1;
+    co_await delay(m_context,
+                   millis(cold_factor * (run_ms ? std::stoi(*run_ms) : m_settings.run_ms)));
     m_journal[index].ended_us = now_us();
     if (m_settings.prints_runs)
         std::cout << "end " << *attempt << ' ' << m_journal[index].ended_us << '\n' << std::flush;
--- a/tests/standins/worker_standin.hpp
+++ b/tests/standins/worker_standin.hpp
@@ -75,6 +75,10 @@
     /// /leaving?text=TEXT.
     void set_leaving(std::string text) { m_leaving = std::move(text); }
 
+    /// @brief For some time from now, the worker is cold: its registration states the remaining
+    /// time and its runs take twice as long. Also set with POST /cold?ms=TIME.
+    void set_cold(millis time) { m_cold_until = boot_clock::now() + time; }
+
     /// @brief For some time, answers every third request 503 with this text as `Retry-After`. Also
     /// set with POST /turn_away?retry_after=TEXT&ms=TIME.
     void turn_away(std::string retry_after, millis time);
@@ -92,6 +96,10 @@
     /// requests for another worker. Boot clock, in microseconds.
     [[nodiscard]] const std::vector<std::int64_t>& arrivals() const { return m_arrivals; }
 
+    /// Arrival times of the requests that were answered otherwise than with status 421, in the
+    /// order of the answers. Boot clock, in microseconds.
+    [[nodiscard]] const std::vector<std::int64_t>& accepted() const { return m_accepted; }
+
     [[nodiscard]] const std::vector<run_entry>& journal() const { return m_journal; }
     [[nodiscard]] const worker_settings& settings() const { return m_settings; }
 
@@ -125,9 +133,11 @@
     std::string m_leaving;     ///< text of the header `Server-Leaving`
     std::string m_retry_after; ///< of requests that are turned away
     instant m_turns_away_until{};
+    instant m_cold_until{};
     std::vector<request_event> m_requests;
     std::vector<request_event> m_turned_away;
     std::vector<std::int64_t> m_arrivals;
+    std::vector<std::int64_t> m_accepted;
     std::vector<run_entry> m_journal;
     http_listener m_listener;
 };
