Ownership: workers of a zone that is taken back get keys again

Cause: a worker without keys is not called, and one without an answer for 4.5 s gets no keys. The workers of an evacuated zone have no keys, so after an evacuation of more than 4.5 s they got none until they started anew. Change: at the end of an evacuation the coordinator forgets when the zone's workers last answered. Ruled out: giving keys to any worker without keys whose last answer is old; one that has lost its keys because it does not answer would get them again and again.

--- a/src/router/coordinator_evacuations.cpp
+++ b/src/router/coordinator_evacuations.cpp
@@ -16,7 +16,9 @@
 
 } // namespace
 
-/// Plans the moves anew after a change. The workers of a zone that is taken back may be cold.
+/// Plans the moves anew after a change. The workers of a zone that is taken back may be cold. They
+/// have not been called since their keys moved, so the age of their last answers does not mean that
+/// they are lost.
 void key_coordinator::update_evacuations(instant now)
 {
     const auto changes = m_state.evacuations.changes();
@@ -32,9 +34,11 @@
     m_state.workers.for_each(
         [&](const known_worker& worker)
         {
-            if (worker.accepts_work() && was_evacuated(worker.entry.zone) &&
-                !m_state.evacuations.since(worker.entry.zone))
-                presume_cold(worker, now);
+            if (!worker.accepts_work() || !was_evacuated(worker.entry.zone) ||
+                m_state.evacuations.since(worker.entry.zone))
+                return;
+            m_workers[worker.entry.life.id].last_answer = {};
+            presume_cold(worker, now);
         });
 }
 
