Limits: changed figures apply to workers that are paced already

Cause: a pace kept the bounds of the configuration in which it began, so a lower cold_per_s, overage or slack had no effect on a worker that was cold at that time. Change: the coordinator passes the bounds in force to the pace of each cold worker with each push. Ruled out: starting the pace over, which discards what is known of the worker. Not played over sockets.

--- a/include/eelgrassrail/limits/pace_controller.hpp
+++ b/include/eelgrassrail/limits/pace_controller.hpp
@@ -46,6 +46,9 @@
     /// @brief The worker is cold until the given instant. If it was warm, it starts over.
     void set_cold_until(instant until, instant now) noexcept;
 
+    /// @brief Applies the bounds of a changed configuration.
+    void set_bounds(const pace_bounds& bounds, instant now) noexcept;
+
     /// @brief Adds what was observed since the last call.
     void add(const pace_sample& sample) noexcept;
 
--- a/src/limits/pace_controller.cpp
+++ b/src/limits/pace_controller.cpp
@@ -73,6 +73,13 @@
     m_cold_until = until;
 }
 
+void pace_controller::set_bounds(const pace_bounds& bounds, instant now) noexcept
+{
+    m_bounds = bounds;
+    if (is_cold(now))
+        m_per_s = std::min(m_per_s, m_bounds.max_cold_per_s);
+}
+
 void pace_controller::add(const pace_sample& sample) noexcept
 {
     m_seen.answers += sample.answers;
--- a/src/router/coordinator_paces.cpp
+++ b/src/router/coordinator_paces.cpp
@@ -61,17 +61,18 @@
     if (settings == nullptr || settings->cold_per_s <= 0)
         return;
     const auto& id = worker.entry.life.id;
+    const auto bounds = make_pace_bounds(settings->cold_per_s, m_state.settings.cold_overage,
+                                         m_state.settings.cold_slack);
     if (const auto it = m_paces.find(id); it != m_paces.end())
     {
         if (it->second.life == worker.entry.life)
         {
+            it->second.pace.set_bounds(bounds, now);
             it->second.pace.set_cold_until(cold_until, now);
             return;
         }
         m_paces.erase(it);
     }
-    const auto bounds = make_pace_bounds(settings->cold_per_s, m_state.settings.cold_overage,
-                                         m_state.settings.cold_slack);
     m_paces.emplace(id, paced_worker{worker.entry.life, {bounds, cold_until, now}});
     m_pace_permits.set({id, bounds.initial_per_s}, now);
     m_paces_changed = now;
--- a/tests/src/unit-pace.cpp
+++ b/tests/src/unit-pace.cpp
@@ -78,6 +78,7 @@
     CPPUNIT_TEST(a_worker_that_turns_cold_under_a_flood_stays_below_the_bound);
     CPPUNIT_TEST(a_prolonged_cold_time_does_not_start_the_pace_over);
     CPPUNIT_TEST(a_shortened_cold_time_lifts_the_bound);
+    CPPUNIT_TEST(lower_figures_of_the_configuration_apply_at_once);
     CPPUNIT_TEST(few_failures_and_unknown_times_do_not_lower_the_pace);
     CPPUNIT_TEST(a_pace_above_the_capacity_ends_only_when_the_worker_is_warm);
     CPPUNIT_TEST(a_new_coordinator_starts_with_empty_buckets);
@@ -231,6 +232,19 @@
         CPPUNIT_ASSERT(it.pace.has_ended());
     }
 
+    /// A pace that had begun kept to the bound that the service had stated before.
+    void lower_figures_of_the_configuration_apply_at_once()
+    {
+        steady_worker it({2, 0, 400, 230});
+        it.play(millis(1'500));
+        const auto lower = make_pace_bounds(2.0, overage, 2.0);
+        CPPUNIT_ASSERT(it.pace.per_s() > lower.max_cold_per_s);
+        it.pace.set_bounds(lower, it.now);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(lower.max_cold_per_s, it.pace.per_s(), 1e-9);
+        it.play(millis(1'000));
+        CPPUNIT_ASSERT(it.pace.per_s() <= lower.max_cold_per_s);
+    }
+
     /// A single reset, or a service without known run times, must not hold a worker back.
     void few_failures_and_unknown_times_do_not_lower_the_pace()
     {
