Tests: a worker that did not respond for some time

Cause: no test covered a worker that is cold when it responds again, before its entry says so. Change: session_pace::a_worker_that_did_not_respond_for_some_time; the stand-in worker freezes on request.

--- a/tests/src/session-pace.cpp
+++ b/tests/src/session-pace.cpp
@@ -59,6 +59,7 @@
     CPPUNIT_TEST(a_worker_that_starts_under_a_flood);
     CPPUNIT_TEST(a_worker_that_turns_cold_while_it_runs);
     CPPUNIT_TEST(a_worker_that_turns_cold_while_the_coordinator_is_gone);
+    CPPUNIT_TEST(a_worker_that_did_not_respond_for_some_time);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -83,7 +84,40 @@
         cluster.run(turn_cold(cluster, true));
     }
 
+    /// It must not be flooded when it is back, before its next entry says that it is cold.
+    void a_worker_that_did_not_respond_for_some_time()
+    {
+        zone_cluster cluster;
+        cluster.run(freeze(cluster));
+    }
+
   private:
+    static asio::awaitable<void> freeze(zone_cluster& cluster)
+    {
+        constexpr millis frozen_time{3'500};
+        start_others(cluster, 4);
+        for (const auto* id : {"k1", "p1"})
+            cluster.start_worker(id, millis(0));
+        co_await cluster.warm_up();
+        cluster.writes_entries = false;
+        for (const auto* id : {"k1", "p1"})
+            cluster.worker(id).freeze(frozen_time);
+        co_await cluster.flood(frozen_time);
+        const auto back = boot_us();
+        for (const auto* id : {"k1", "p1"})
+            cluster.worker(id).set_cold(cold_time);
+        co_await cluster.flood(millis(1'200));
+        cluster.writes_entries = true;
+        co_await cluster.flood(millis(7'800));
+        co_await cluster.delay(millis(500));
+        for (const auto* id : {"k1", "p1"})
+        {
+            check_bound(cluster, id, back, back + us(cold_time));
+            check_gets(cluster, id, back + us(cold_time + millis(3'000)),
+                       back + us(cold_time + millis(5'000)), 10);
+        }
+    }
+
     static asio::awaitable<void> start_cold(zone_cluster& cluster)
     {
         start_others(cluster, 4);
--- a/tests/standins/worker_standin.cpp
+++ b/tests/standins/worker_standin.cpp
@@ -215,6 +215,8 @@
                   << std::flush;
     m_requests.push_back(
         {std::string(find_field(call.fields, attempt_id_field).value_or("")), m_arrivals.back()});
+    while (boot_clock::now() < m_frozen_until)
+        co_await delay(m_context, millis(5));
     http_reply reply;
     if (turns_away())
         reply = make_turned_away(m_requests.back().attempt);
--- a/tests/standins/worker_standin.hpp
+++ b/tests/standins/worker_standin.hpp
@@ -79,6 +79,10 @@
     /// time and its runs take twice as long. Also set with POST /cold?ms=TIME.
     void set_cold(millis time) { m_cold_until = boot_clock::now() + time; }
 
+    /// @brief For some time from now, requests that arrive wait until its end, as in a process that
+    /// was stopped. Grants and releases are answered.
+    void freeze(millis time) { m_frozen_until = boot_clock::now() + time; }
+
     /// @brief For some time, answers every third request 503 with this text as `Retry-After`. Also
     /// set with POST /turn_away?retry_after=TEXT&ms=TIME.
     void turn_away(std::string retry_after, millis time);
@@ -134,6 +138,7 @@
     std::string m_retry_after; ///< of requests that are turned away
     instant m_turns_away_until{};
     instant m_cold_until{};
+    instant m_frozen_until{};
     std::vector<request_event> m_requests;
     std::vector<request_event> m_turned_away;
     std::vector<std::int64_t> m_arrivals;
