Soak: workers turn cold and zones are evacuated

Cause: the soak played neither, so moves of keys out of a zone and paces were never combined with its other faults. Change: both services state cold_per_s, workers are in two zones, one worker after the other turns cold while it runs, and the operator evacuates one of the zones for 1 to 6 s at a time. Routers of the current version get the three flags. The soak's existing checks apply (one holder of a key, at most one run, recovery).

--- a/tests/soak/soak_config.cpp
+++ b/tests/soak/soak_config.cpp
@@ -23,8 +23,8 @@
            R"("header_timeout":"3000ms","idle_timeout":"15s"},"listeners":[{"host":"soak","rules":[)" +
            rule("read", true, "keys") + "," + rule("file", false, "keys") + "," +
            rule("look", true, "plain") + "," + rule("book", false, "plain") +
-           R"(]}],"clusters":[{"name":"keys","max_connections":100,"sharded":true,"warm":"1s"},)"
-           R"({"name":"plain","max_connections":100}]})";
+           R"(]}],"clusters":[{"name":"keys","max_connections":100,"sharded":true,"warm":"1s","cold_per_s":6.2},)"
+           R"({"name":"plain","max_connections":100,"cold_per_s":6.2}]})";
 }
 
 } // namespace eelgrassrail::soak
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -103,6 +103,7 @@
     {
         worker item;
         item.is_sharded = n < m_sizes.keyed_workers;
+        item.is_in_second_zone = n % 2 != 0;
         item.id = "w" + std::to_string(n);
         item.port = next_port();
         const auto proxied = next_port();
@@ -126,16 +127,24 @@
 void soak_world::start(router& item)
 {
     const auto front_port = item.front_port;
-    item.process.emplace(
-        (item.name == "r0" ? m_first_router_bin : m_bin) + "/eelgrassrail_platform",
-        std::vector<std::string>{"--vm=" + item.name,
-                                 std::string("--zone=") + (item.front_port % 2 == 0 ? "z1" : "z2"),
-                                 std::string("--ip=") + soak_ip, "--front=" + address(front_port),
-                                 "--ready=" + address(static_cast<std::uint16_t>(front_port + 1)),
-                                 "--internal_ports=" + std::to_string(front_port + 2),
-                                 "--store=" + address(item.store_port), "--grace=4s",
-                                 "--max_hold=3000ms", "--log_level=debug"},
-        m_folder + "/" + item.name + "-" + std::to_string(random_below(1'000'000)) + ".log");
+    const auto& bin = item.name == "r0" ? m_first_router_bin : m_bin;
+    std::vector<std::string> flags{"--vm=" + item.name,
+                                   std::string("--zone=") +
+                                       (item.front_port % 2 == 0 ? "z1" : "z2"),
+                                   std::string("--ip=") + soak_ip,
+                                   "--front=" + address(front_port),
+                                   "--ready=" + address(static_cast<std::uint16_t>(front_port + 1)),
+                                   "--internal_ports=" + std::to_string(front_port + 2),
+                                   "--store=" + address(item.store_port),
+                                   "--grace=4s",
+                                   "--max_hold=3000ms",
+                                   "--log_level=debug"};
+    // An earlier version does not start with flags that it does not know.
+    if (bin == m_bin)
+        flags.insert(flags.end(), {"--evacuate=3000ms", "--cold_overage=1.5", "--cold_slack=8"});
+    item.process.emplace(bin + "/eelgrassrail_platform", flags,
+                         m_folder + "/" + item.name + "-" +
+                             std::to_string(random_below(1'000'000)) + ".log");
 }
 
 void soak_world::start(worker& item)
@@ -148,6 +157,7 @@
             "--advertise=" + address(static_cast<std::uint16_t>(item.port + 1)),
             "--store=" + address(m_store_port),
             std::string("--service=") + (item.is_sharded ? "keys" : "plain"),
+            std::string("--zone=") + (item.is_in_second_zone ? "z2" : "z1"),
             std::string("--divided=") + (item.is_sharded ? "true" : "false"), "--clock_lag=0.02",
             "--late_percent=1", "--seed=" + std::to_string(item.port + item.starts),
             "--born_ms=" + std::to_string(first_born_ms + item.starts)},
@@ -580,6 +590,8 @@
     asio::co_spawn(m_context, play_faulty_answers(), asio::detached);
     asio::co_spawn(m_context, let_workers_leave(), asio::detached);
     asio::co_spawn(m_context, let_workers_turn_away(), asio::detached);
+    asio::co_spawn(m_context, let_workers_turn_cold(), asio::detached);
+    asio::co_spawn(m_context, evacuate_zones(), asio::detached);
     asio::co_spawn(m_context, write_foreign_entries(), asio::detached);
     const auto deadline = boot_clock::now() + fault_time;
     while (boot_clock::now() < deadline)
--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -74,6 +74,7 @@
         std::string id;
         std::uint16_t port{};
         bool is_sharded{};
+        bool is_in_second_zone{}; ///< zone z2 instead of z1
         unsigned starts{};
         std::unique_ptr<fault_proxy> proxy; ///< listens on port + 1
         std::optional<harness::child_process> process;
@@ -100,6 +101,8 @@
     boost::asio::awaitable<void> call_worker(std::uint16_t port, std::string target);
     boost::asio::awaitable<void> let_workers_leave();
     boost::asio::awaitable<void> let_workers_turn_away();
+    boost::asio::awaitable<void> let_workers_turn_cold();
+    boost::asio::awaitable<void> evacuate_zones();
     boost::asio::awaitable<void> write_foreign_entries();
     boost::asio::awaitable<void> delay(millis time);
     boost::asio::awaitable<void> check_recovery(std::vector<std::string>& violations);
@@ -136,7 +139,7 @@
     hold_watch m_holds;
     std::vector<late_request> m_late_requests;
     drain_evidence m_drain_evidence;
-    bool m_drains{true}; ///< workers leave and turn requests away
+    bool m_drains{true}; ///< workers leave, turn requests away or cold, and zones are evacuated
     std::size_t m_faults_running{};
     std::size_t m_limits_running{};
     bool m_names_limits{true};
