--- a/src/router/coordinator_paces.cpp
+++ b/src/router/coordinator_paces.cpp
@@ -26,6 +26,9 @@
 constexpr millis change_repeat_time{500};
 constexpr millis empty_repeat_time{3'000};
 
+/// Time after the end of the cold time in which answers of cold runs are still reported.
+constexpr millis cold_report_time{500};
+
 } // namespace
 
 double key_coordinator::usual_ms(std::string_view service) const
@@ -58,17 +61,18 @@
     if (settings == nullptr || settings->cold_per_s <= 0)
         return;
     const auto& id = worker.entry.life.id;
+    const auto bounds = make_pace_bounds(settings->cold_per_s, m_state.settings.cold_overage,
+                                         m_state.settings.cold_slack);
     if (const auto it = m_paces.find(id); it != m_paces.end())
     {
         if (it->second.life == worker.entry.life)
         {
+            it->second.pace.set_bounds(bounds, now);
             it->second.pace.set_cold_until(cold_until, now);
             return;
         }
         m_paces.erase(it);
     }
-    const auto bounds = make_pace_bounds(settings->cold_per_s, m_state.settings.cold_overage,
-                                         m_state.settings.cold_slack);
     m_paces.emplace(id, paced_worker{worker.entry.life, {bounds, cold_until, now}});
     m_pace_permits.set({id, bounds.initial_per_s}, now);
     m_paces_changed = now;
@@ -107,7 +111,8 @@
     it->second.pace.add(sample);
 }
 
-/// Adapts all paces and removes those that have ended.
+/// Adapts all paces and removes those that have ended. The run times of a cold worker are forgotten
+/// when it is warm: they would keep requests away from it, and only requests give new ones.
 void key_coordinator::update_paces(instant now)
 {
     for (auto it = m_paces.begin(); it != m_paces.end();)
@@ -128,6 +133,10 @@
                             (known > 0 ? known : usual_ms(worker->entry.service)),
                         now);
         }
+        // Also when the pace ends before all cold runs were reported.
+        if (pace.is_cold(m_last_push - cold_report_time) &&
+            (!pace.is_cold(now - cold_report_time) || pace.has_ended()))
+            m_workers[id].speed = {};
         if (!is_gone && !is_known_warm && !pace.has_ended())
         {
             m_pace_permits.set({id, pace.per_s()}, now);
