Limits: requests without a permit that overdraw a worker cost more than one token

Cause: processes of the build before know no permits; they send until the coordinator's pushes report the worker as full, and again as soon as they do not. Such a burst lasts until reports (200 ms) and pushes (75 ms, relayed) show it. With the debt paid back at the rate of the limit, a window of 4 s that begins and ends with a burst holds both bursts and the whole limit in between: 400 + 224 with a limit of 100. Change: a request without a permit that finds the bucket overdrawn by more than 2 tokens costs 1.6 tokens. The bound on the debt is unchanged.

--- a/src/limits/permit_ledger.cpp
+++ b/src/limits/permit_ledger.cpp
@@ -27,6 +27,13 @@
 constexpr double max_debt_s = 4.0;
 constexpr double max_debt_requests = 5.0;
 
+/// Additional tokens for each request without a permit that finds the bucket overdrawn, beyond a
+/// few. Processes that do not ask for permits send again as soon as the worker is not reported as
+/// full, and each such burst lasts until the reports show it. Without a surcharge a window that
+/// begins and ends with a burst holds two of them and all of the limit in between.
+constexpr double overdraft_surcharge = 0.6;
+constexpr double free_overdraft = 2.0;
+
 /// A debt above this is not just one request whose permit was lost.
 constexpr double min_overdraft = 0.5;
 
@@ -145,7 +152,9 @@
                         at->permitted.begin() + static_cast<std::ptrdiff_t>(permitted));
     if (now < at->excess_counts_from)
         return;
-    at->tokens = std::max(at->tokens - static_cast<double>(requests - permitted),
+    const auto excess = static_cast<double>(requests - permitted);
+    const double overdraft = std::clamp(excess - at->tokens - free_overdraft, 0.0, excess);
+    at->tokens = std::max(at->tokens - excess - overdraft_surcharge * overdraft,
                           std::min(at->tokens, -max_debt_requests - max_debt_s * rate(at->per_s)));
 }
 
