Client: replies with an invalid status, length or transfer coding are errors of the worker

Cause: the parser accepts any three digits as a status. Statuses below 200 (000, 099, 101) were skipped like interim replies, so the exchange waited until its deadline or took what followed; 600 to 999 were passed on. Folded lines, equal repeated lengths, codings other than chunked, and bodies of replies without one were accepted too. Change: the head is checked as it arrives (`check_reply_head`, pure); an invalid one ends the exchange at once as invalid, and its connection is closed.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,6 +1,7 @@
 /// HTTP client with a connection pool, on Boost.Beast.
 #include <eelgrassrail/http/client.hpp>
 #include <eelgrassrail/http/receive_budget.hpp>
+#include <eelgrassrail/http/reply_head.hpp>
 #include <eelgrassrail/settings/net_address.hpp>
 
 #include <boost/asio/redirect_error.hpp>
@@ -26,8 +27,11 @@
 
 constexpr std::size_t default_max_body_bytes = 8UL * 1024UL * 1024;
 
-/// Maximum received bytes of a connection that are not parsed yet. Heads are limited to 8 KB, but
-/// chunk headers and trailers have no limit of their own.
+/// Maximum size of a head, which is the parser's limit too.
+constexpr std::uint32_t max_head_bytes = 8U * 1024;
+
+/// Maximum received bytes of a connection that are not parsed yet. Heads are limited, but chunk
+/// headers and trailers have no limit of their own.
 constexpr std::size_t max_unparsed_bytes = 64UL * 1024;
 
 /// An idle connection with a larger buffer releases it.
@@ -281,19 +285,45 @@
         result.result = exchange_result::invalid;
     }
 
+    /// Receives the whole head of a reply, and ends as soon as it is invalid.
+    static asio::awaitable<beast::error_code> receive_head(connection& used)
+    {
+        beast::error_code ec;
+        for (;;)
+        {
+            const auto received = used.buf.data();
+            const auto state =
+                check_reply_head({static_cast<const char*>(received.data()), received.size()});
+            if (state == head_state::invalid)
+                ec = http::error::bad_status;
+            else if (state == head_state::incomplete && received.size() >= max_head_bytes)
+                ec = http::error::header_limit;
+            if (ec.failed() || state == head_state::complete)
+                co_return ec;
+            constexpr std::size_t max_read_bytes = 4UL * 1024;
+            used.buf.commit(co_await used.stream.async_read_some(
+                used.buf.prepare(max_read_bytes), asio::redirect_error(asio::use_awaitable, ec)));
+            if (ec.failed())
+                co_return ec;
+        }
+    }
+
     /// Reads one reply.
     /// @return false if it is interim or not known to be of this exchange, so the next one is to be
     /// read
     asio::awaitable<bool> read_reply(connection& used, reply_expectation& expected,
                                      const exchange_options& options, http_exchange& result) const
     {
-        beast::error_code ec;
         http::response_parser<http::string_body> parser;
         parser.body_limit(max_body_bytes);
+        parser.header_limit(max_head_bytes);
         parser.skip(expected.is_head);
         budget_reservation memory(budget.get());
-        co_await http::async_read_header(used.stream, used.buf, parser,
-                                         asio::redirect_error(asio::use_awaitable, ec));
+        auto ec = co_await receive_head(used);
+        const bool has_received = used.buf.size() > 0;
+        if (!ec.failed())
+            co_await http::async_read_header(used.stream, used.buf, parser,
+                                             asio::redirect_error(asio::use_awaitable, ec));
         while (!ec.failed() && !parser.is_done())
         {
             co_await http::async_read_some(used.stream, used.buf, parser,
@@ -306,7 +336,7 @@
         }
         if (ec.failed())
         {
-            if (!is_connection_error(ec) || parser.got_some())
+            if (!is_connection_error(ec) || has_received)
                 result.result =
                     ec == beast::error::timeout ? exchange_result::lost : exchange_result::invalid;
             co_return true;
--- a/tests/src/unit-faulty_workers.cpp
+++ b/tests/src/unit-faulty_workers.cpp
@@ -196,6 +196,7 @@
     CPPUNIT_TEST(a_request_without_an_id_is_refused_on_any_connection);
     CPPUNIT_TEST(no_part_of_an_answer_counts);
     CPPUNIT_TEST(no_part_of_an_answer_counts_on_a_used_connection);
+    CPPUNIT_TEST(an_invalid_status_is_never_passed_on);
     CPPUNIT_TEST(a_repeatable_request_that_may_have_run_is_not_refused_as_not_run);
     CPPUNIT_TEST(a_request_that_waited_is_not_passed_on_late_in_a_stop);
     CPPUNIT_TEST(an_owner_without_an_address_does_not_block_others);
@@ -363,6 +364,17 @@
                 check_part(whole, n, byte_end::close, {"a", "b"});
     }
 
+    /// Guards against statuses such as 000 that reach the caller, and against a wait until the
+    /// deadline for a reply after one. The connection is not used again, and a request that may be
+    /// repeated is sent to another worker.
+    void an_invalid_status_is_never_passed_on()
+    {
+        for (const std::string status : {"000", "099", "101", "600", "999"})
+            for (const bool has_length : {false, true})
+                for (const bool has_next : {false, true})
+                    check_status(status, has_length, has_next);
+    }
+
     /// Guards against an untrue promise: the only worker broke off, so no worker was left, and the
     /// caller was told 503.
     void a_repeatable_request_that_may_have_run_is_not_refused_as_not_run()
@@ -433,6 +445,32 @@
         return answer;
     }
 
+    static void check_status(const std::string& status, bool has_length, bool has_next)
+    {
+        constexpr millis longest{1'000}; // the deadline is 1,500 ms
+        const std::string head = "HTTP/1.1 " + status + " x" + head_of("a").substr(15) +
+                                 (has_length ? "Content-Length: 2\r\n\r\nno" : "\r\n");
+        const auto faulty = [&](const byte_request& request)
+        {
+            byte_answer answer;
+            const bool is_valid = request.attempt == "b";
+            answer.steps.push_back(
+                {is_valid ? answer_bytes("b") : head + (has_next ? answer_bytes("a") : ""), {}});
+            answer.is_run = true;
+            return answer;
+        };
+        faulty_cluster cluster;
+        auto& worker = cluster.add_worker(false, faulty);
+        const auto began = boot_clock::now();
+        const auto replies = cluster.run("/book/x", {"a", "b"});
+        CPPUNIT_ASSERT_MESSAGE(head, boot_clock::now() - began < longest);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(head, 502U, replies[0].status);
+        CPPUNIT_ASSERT_MESSAGE(head, find_field(replies[0].fields, "Error-Kind") ==
+                                         "invalid-server-answer");
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(head, 200U, replies[1].status);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(head, std::size_t(2), worker.connections());
+    }
+
     static void set_address(faulty_cluster& cluster, const std::string& id,
                             const std::string& address)
     {
