Test stand-in: the store can be restored from a copy

Cause: no test could play a restore of the store. Change: POST /restore and store_standin::restore cut all topics back to what they held some time ago, answer 503 for a while and name the era in the header Store-Era. In era 0 no answer changes. Records before the deletion point are kept in memory for the replay of a copy. Ruled out: copies made at intervals, since a test chooses the age afterwards.

--- a/tests/standins/store_standin.cpp
+++ b/tests/standins/store_standin.cpp
@@ -65,18 +65,39 @@
 void store_standin::put(const std::string& topic, const std::string& key, const std::string& value)
 {
     auto& state = m_topics[topic];
-    if (value.empty())
-        state.newest.erase(key);
+    state.records.push_back({key, value, boot_clock::now()});
+    state.note_newest(state.end() - 1);
+}
+
+void store_standin::topic_state::note_newest(std::uint64_t offset)
+{
+    const auto& item = records[offset];
+    if (item.value.empty())
+        newest.erase(item.key);
     else
-        state.newest[key] = {state.end(), value};
-    state.records.push_back({key, value});
+        newest[item.key] = {offset, item.value};
+}
+
+void store_standin::restore(millis age, millis away)
+{
+    const auto now = boot_clock::now();
+    for (auto& [topic, state] : m_topics)
+    {
+        std::erase_if(state.records,
+                      [copied = now - age](const record& item) { return item.put_at > copied; });
+        state.first = std::min(state.first, state.end());
+        state.newest.clear();
+        for (std::uint64_t offset = 0; offset < state.end(); ++offset)
+            state.note_newest(offset);
+    }
+    ++m_era;
+    m_away_until = now + away;
 }
 
 void store_standin::compact(const std::string& topic)
 {
     auto& state = m_topics[topic];
     state.first = state.end();
-    state.records.clear();
 }
 
 asio::awaitable<void> store_standin::delay(millis time)
@@ -129,16 +150,32 @@
         compact(query_value(call.target, "topic").value_or(""));
     else if (path == "/lapse")
         lapse(query_value(call.target, "key").value_or(""), millis(number_of(call, "ms", 0)));
+    else if (path == "/restore")
+        restore(millis(number_of(call, "age_ms", 0)), millis(number_of(call, "away_ms", 0)));
     else if (path == "/record")
         co_return newest_of_key(call);
     else
     {
         ++calls;
-        co_return co_await serve_node(std::move(call));
+        co_return co_await serve_in_era(std::move(call));
     }
     co_return status_only(200);
 }
 
+/// Calls that a restore interrupts are answered 503.
+asio::awaitable<http_reply> store_standin::serve_in_era(http_call call)
+{
+    const auto era = m_era;
+    http_reply reply = status_only(503);
+    if (boot_clock::now() >= m_away_until)
+        reply = co_await serve_node(std::move(call));
+    if (m_era != era)
+        reply = status_only(503);
+    if (m_era > 0)
+        reply.fields.emplace_back("Store-Era", std::to_string(m_era));
+    co_return reply;
+}
+
 asio::awaitable<http_reply> store_standin::serve_node(http_call call)
 {
     const auto path = path_of(call.target);
@@ -212,19 +249,22 @@
     const auto from = number_of(call, "from", 0);
     const auto until = boot_clock::now() + millis(number_of(call, "wait_ms", 0));
     constexpr millis poll_interval{10};
-    while (m_topics[topic].end() <= from && boot_clock::now() < until)
+    const auto era = m_era;
+    while (m_topics[topic].end() <= from && boot_clock::now() < until && m_era == era)
     {
+        if (era > 0 && m_topics[topic].end() < from)
+            co_return status_only(410);
         asio::steady_timer timer(m_context, poll_interval);
         co_await timer.async_wait(asio::use_awaitable);
     }
     const auto& state = m_topics[topic];
-    if (from < state.first)
+    if (from < state.first || (era > 0 && from > state.end()))
         co_return status_only(410);
     http_reply reply;
     reply.body = big_endian(state.end(), 8) + big_endian(state.first, 8);
     for (auto offset = from; offset < state.end(); ++offset)
     {
-        const auto& item = state.records[offset - state.first];
+        const auto& item = state.records[offset];
         reply.body += big_endian(1 + item.key.size() + item.value.size(), 4);
         reply.body.push_back(static_cast<char>(item.key.size()));
         reply.body += item.key + item.value;
--- a/tests/standins/store_standin.hpp
+++ b/tests/standins/store_standin.hpp
@@ -16,7 +16,9 @@
 /// Keeps keyed topics in memory. Faults are set through `faults`, or with POST /faults with the
 /// names of store_standin.cpp; parameters not given are reset to 0. POST /compact?topic=NAME
 /// deletes history, POST /lapse?key=ID&ms=TIME removes a worker's entry and ignores its reports for
-/// a time.
+/// a time, POST /restore?age_ms=AGE&away_ms=TIME restores all topics from a copy.
+///
+/// After a restore each answer names the number of restores in the header `Store-Era`.
 ///
 /// The calls of the workers and the operator (topics keyed.servers, keyed.op) are subject to no
 /// limit and no fault of appends. Random choices come from one generator, so they are the same for
@@ -52,6 +54,22 @@
     /// log-newest, and reads from an older offset get 410.
     void compact(const std::string& topic);
 
+    /// @brief Replaces all topics by a copy of them that was made `age` ago. Their later records are
+    /// gone and their offsets are issued again.
+    /// @param away time for which all calls are answered 503
+    void restore(millis age, millis away);
+
+    /// @brief Number of restores.
+    [[nodiscard]] std::uint64_t era() const { return m_era; }
+
+    /// @brief Newest value of a key; empty if there is none.
+    [[nodiscard]] std::string value(const std::string& topic, const std::string& key)
+    {
+        const auto& items = m_topics[topic].newest;
+        const auto it = items.find(key);
+        return it == items.end() ? std::string() : it->second.second;
+    }
+
     /// @brief Offset of the next record of a topic.
     [[nodiscard]] std::uint64_t end(const std::string& topic) { return m_topics[topic].end(); }
 
@@ -63,17 +81,19 @@
     {
         std::string key;
         std::string value;
+        instant put_at{};
     };
 
     /// The records of a topic, and the newest value of each key with its offset.
     struct topic_state
     {
-        std::uint64_t first{};       ///< offset of the oldest record kept
-        std::vector<record> records; ///< records[n] has the offset first + n
+        std::uint64_t first{};       ///< offset of the oldest record that can be read
+        std::vector<record> records; ///< records[n] has the offset n; those before `first` too
         std::map<std::string, std::pair<std::uint64_t, std::string>> newest;
         instant free_at{}; ///< end of the last append that waits
 
-        [[nodiscard]] std::uint64_t end() const { return first + records.size(); }
+        [[nodiscard]] std::uint64_t end() const { return records.size(); }
+        void note_newest(std::uint64_t offset);
     };
 
     /// A token bucket that holds the calls of one second.
@@ -84,6 +104,7 @@
     };
 
     boost::asio::awaitable<http_reply> serve(http_call call);
+    boost::asio::awaitable<http_reply> serve_in_era(http_call call);
     boost::asio::awaitable<http_reply> serve_node(http_call call);
     boost::asio::awaitable<http_reply> append_in_turn(http_call call);
     boost::asio::awaitable<void> delay(millis time);
@@ -100,6 +121,8 @@
     boost::asio::io_context& m_context;
     std::map<std::string, topic_state> m_topics;
     std::map<std::string, instant> m_lapsed_until; ///< by key of keyed.servers
+    std::uint64_t m_era{};                         ///< number of restores
+    instant m_away_until{};                        ///< all calls are answered 503 before
     rate_bucket m_writes;
     rate_bucket m_reads;
     std::mt19937 m_random;
