Registry: entries in a restored store that may be out of date are decided after 3 s

Cause: an entry on the copy of an earlier life replaced the later life of a worker that had restarted in the lost time. An entry that a worker wrote between the restore and the first listing was dropped for good if the worker was known as removed: an entry that does not change makes no further record. Change: an earlier life counts as a removal, deferred like that of a worker that the listing lacks; an entry of a worker that had left is applied 3 s later unless a newer record has decided. Ruled out: a second listing after 3 s, since it shows the same entries.

--- a/include/eelgrassrail/registry/worker_feed.hpp
+++ b/include/eelgrassrail/registry/worker_feed.hpp
@@ -49,7 +49,7 @@
     bool apply_listing(std::span<const worker_change> listing, std::uint64_t end, instant now,
                        std::span<const worker_change> overwritten = {});
 
-    /// @brief Applies the deferred removals that are due.
+    /// @brief Applies the deferred changes that are due.
     /// @return whether the registry has changed
     bool apply_due(instant now);
 
@@ -57,10 +57,10 @@
     /// before the last known one changes nothing.
     void on_store_answered(instant earliest, instant latest) noexcept;
 
-    /// @brief When the deferred removals are due; none: there are no deferred ones.
+    /// @brief When the deferred changes are due; none: there are no deferred ones.
     [[nodiscard]] std::optional<instant> due_at() const noexcept;
 
-    /// @brief Forgets the position and the deferred removals, as another process reads the stream
+    /// @brief Forgets the position and the deferred changes, as another process reads the stream
     /// from now on.
     void reset() noexcept;
 
@@ -68,24 +68,31 @@
     /// seconds after it.
     static constexpr millis reregistration_window{2'200};
 
+    /// In a store that was restored from a copy, an entry of a worker that had left is not used
+    /// within this time. Whatever the worker or its successor wrote last is written again by then,
+    /// so an entry that stays is in force.
+    static constexpr millis revival_delay{3'000};
+
     /// An entry lapses three report intervals after the last report. That may be one interval
     /// before an outage, so shorter ones than two lapse nothing. The time between two known answers
     /// is longer than the outage between them, by half an interval or more.
     static constexpr double lapse_intervals = 2.5;
 
   private:
-    /// A removal that is not in force yet.
-    struct deferred_removal
+    /// A removal, or an entry of a worker that had left, that is not in force yet.
+    struct deferred_change
     {
         worker_change change;
-        std::uint64_t complete_until{}; ///< whoever reads from there on learns of the removal
+        std::uint64_t complete_until{}; ///< whoever reads from there on learns of the change
         instant due{};
     };
 
+    bool apply_listed(const worker_change& change, std::uint64_t complete_until, std::uint64_t end,
+                      instant now);
     bool apply_or_defer(const worker_change& change, std::uint64_t complete_until, instant now);
     void advance();
     void on_era(std::uint64_t end, instant now);
-    [[nodiscard]] bool is_revived(const worker_change& change) const;
+    [[nodiscard]] const known_worker* find_ambiguous(const worker_change& change) const;
 
     worker_registry& m_workers;
     const millis m_report_interval;
@@ -94,7 +101,7 @@
     std::uint64_t m_position{};     ///< offset up to which this process has read
     std::uint64_t m_restored_end{}; ///< end of the first listing after a restore of the store
     instant m_removals_from{};      ///< removals before this instant are deferred
-    std::vector<deferred_removal> m_deferred; ///< removals that are not in force yet
+    std::vector<deferred_change> m_deferred; ///< changes that are not in force yet
 };
 
 } // namespace eelgrassrail
--- a/src/registry/worker_feed.cpp
+++ b/src/registry/worker_feed.cpp
@@ -1,4 +1,4 @@
-/// Deferral of removals, and the position in the workers' stream.
+/// Deferral of changes, and the position in the workers' stream.
 #include <eelgrassrail/core/stream_position.hpp>
 #include <eelgrassrail/registry/worker_feed.hpp>
 
@@ -36,8 +36,8 @@
     const bool is_older = end < read_until;
     bool has_changed = false;
     for (const auto& change : listing)
-        if ((!is_older || !m_workers.is_outdated(change, read_until)) && !is_revived(change))
-            has_changed = apply_or_defer(change, before, now) || has_changed;
+        if (!is_older || !m_workers.is_outdated(change, read_until))
+            has_changed = apply_listed(change, before, end, now) || has_changed;
     if (is_older)
         return has_changed;
     // The record of such a removal is anywhere after what was known before.
@@ -65,16 +65,34 @@
     m_removals_from = std::max(m_removals_from, now + reregistration_window);
 }
 
-/// Whether an entry in the copy that the store was restored from is of a worker that has left since
-/// the copy was made.
-bool worker_feed::is_revived(const worker_change& change) const
+/// The worker that an entry in a restored store may not be the newest entry of: the copy was made
+/// before what is known. Null: it is the newest.
+const known_worker* worker_feed::find_ambiguous(const worker_change& change) const
 {
     if (change.is_removed || change.offset >= m_restored_end ||
-        era_of(change.offset) != era_of(m_restored_end) || era_of(change.offset) == 0)
-        return false;
+        era_of(change.offset) != era_of(m_restored_end))
+        return nullptr;
     const auto* known = m_workers.find(change.id);
-    return known != nullptr && known->entry.life == change.entry.life &&
-           era_of(known->offset) < era_of(change.offset) && !known->accepts_work();
+    return known != nullptr && era_of(known->offset) < era_of(change.offset) ? known : nullptr;
+}
+
+/// Applies an entry of a listing.
+/// @param end offset before which the listing is complete
+bool worker_feed::apply_listed(const worker_change& change, std::uint64_t complete_until,
+                               std::uint64_t end, instant now)
+{
+    const auto* known = find_ambiguous(change);
+    if (known == nullptr)
+        return apply_or_defer(change, complete_until, now);
+    const auto born = change.entry.life.born_ms;
+    const auto known_born = known->entry.life.born_ms; // 0: only a removal is known
+    // The entry of the later life is missing, as that of a worker which is not listed.
+    if (born < known_born)
+        return apply_or_defer({change.id, end - 1, true, {}}, complete_until, now);
+    if (known->accepts_work() || (born > known_born && known_born != 0))
+        return apply_or_defer(change, complete_until, now);
+    m_deferred.push_back({change, complete_until, now + revival_delay});
+    return false;
 }
 
 void worker_feed::on_store_answered(instant earliest, instant latest) noexcept
@@ -90,13 +108,13 @@
 {
     if (m_deferred.empty())
         return std::nullopt;
-    return std::ranges::min(m_deferred, {}, &deferred_removal::due).due;
+    return std::ranges::min(m_deferred, {}, &deferred_change::due).due;
 }
 
 bool worker_feed::apply_due(instant now)
 {
     const auto due = std::partition(m_deferred.begin(), m_deferred.end(),
-                                    [now](const deferred_removal& item) { return now < item.due; });
+                                    [now](const deferred_change& item) { return now < item.due; });
     if (due == m_deferred.end())
         return false;
     bool has_changed = false;
