Registry: evacuations are listed again 3 s after a restore

Cause: an evacuation that the operator began, or ended, between the restore and the first listing was ignored for good if the zone was known before, since the listing can not be told from the copy. Ruled out: to believe the first listing, which may revive an evacuation or end one that is in force.

--- a/include/eelgrassrail/registry/evacuated_zones.hpp
+++ b/include/eelgrassrail/registry/evacuated_zones.hpp
@@ -28,12 +28,17 @@
     bool apply(const zone_evacuation& change, instant now);
 
     /// @brief Applies a complete listing of the evacuations in force: others that are older than
-    /// its end have ended.
+    /// its end have ended. If the store was restored from a copy, the zones that were known before
+    /// stay as they are until `listing_due`: the copy may be older.
     /// @param end offset before which the listing is complete
     /// @return the zones whose evacuation has begun or ended
     std::vector<std::string> apply_listing(std::span<const zone_evacuation> listing,
                                            std::uint64_t end, instant now);
 
+    /// @brief When the operator has written again what a restored store lacked, so that the next
+    /// listing counts for all zones; none: that is no open question.
+    [[nodiscard]] std::optional<instant> listing_due() const noexcept { return m_listing_due; }
+
     /// @brief When this process learned of the evacuation of a zone; std::nullopt if it is not
     /// evacuated.
     [[nodiscard]] std::optional<instant> since(std::string_view zone) const;
@@ -57,6 +62,11 @@
         instant changed{}; ///< when `is_evacuated` changed here
     };
 
+    /// The operator writes again within two seconds what a restored store lacks.
+    static constexpr millis rewriting_time{3'000};
+
+    std::uint64_t m_era{}; ///< of the store, in the latest listing
+    std::optional<instant> m_listing_due;
     std::map<std::string, known_zone, std::less<>> m_zones; ///< by zone
 };
 
--- a/src/registry/evacuated_zones.cpp
+++ b/src/registry/evacuated_zones.cpp
@@ -3,6 +3,7 @@
 #include <eelgrassrail/registry/evacuated_zones.hpp>
 
 #include <algorithm>
+#include <ranges>
 
 namespace eelgrassrail
 {
@@ -25,19 +26,26 @@
                                                         std::uint64_t end, instant now)
 {
     std::vector<std::string> changed;
-    // If the store was restored from a copy, the listing says nothing about the zones that were
-    // known before. The operator writes again what the copy lacks.
-    for (auto& [zone, known] : m_zones)
-        if (era_of(known.offset) < era_of(end))
-            known.offset = end - 1;
+    const auto is_from_before = [&](const known_zone& known)
+    { return era_of(known.offset) < era_of(end); };
+    if (era_of(end) > m_era && std::ranges::any_of(m_zones | std::views::values, is_from_before))
+        m_listing_due = now + rewriting_time;
+    m_era = std::max(m_era, era_of(end));
+    if (m_listing_due && now >= *m_listing_due)
+        m_listing_due.reset();
+    const auto stays = [&](const known_zone& known)
+    { return m_listing_due && is_from_before(known); };
     for (const auto& item : listing)
-        if (apply(item, now))
+    {
+        const auto it = m_zones.find(item.zone);
+        if ((it == m_zones.end() || !stays(it->second)) && apply(item, now))
             changed.push_back(item.zone);
+    }
     for (auto& [zone, known] : m_zones)
     {
         const bool is_listed = std::ranges::any_of(listing, [&](const zone_evacuation& item)
                                                    { return item.zone == zone; });
-        if (!known.is_evacuated || is_listed || known.offset + 1 >= end)
+        if (!known.is_evacuated || is_listed || known.offset >= end || stays(known))
             continue;
         known = {end - 1, false, now};
         changed.push_back(zone);
--- a/src/router/stream_reader.cpp
+++ b/src/router/stream_reader.cpp
@@ -240,6 +240,8 @@
             continue;
         }
         const auto sent_at = boot_clock::now();
+        const auto listing_due = m_state.evacuations.listing_due();
+        is_known = is_known && !(listing_due && sent_at >= *listing_due);
         std::optional<stream_page> page;
         if (is_known)
             page = co_await m_state.calls.read(platform_stream::routes, m_routes_offset,
