Registry: clang-tidy findings in evacuated_zones

Cause: clang 14 compiles neither views::values over a map of g++ 12 nor a lambda that captures a structured binding. Change: a projection and std::ranges::find instead.

--- a/src/registry/evacuated_zones.cpp
+++ b/src/registry/evacuated_zones.cpp
@@ -3,7 +3,6 @@
 #include <eelgrassrail/registry/evacuated_zones.hpp>
 
 #include <algorithm>
-#include <ranges>
 
 namespace eelgrassrail
 {
@@ -28,7 +27,8 @@
     std::vector<std::string> changed;
     const auto is_from_before = [&](const known_zone& known)
     { return era_of(known.offset) < era_of(end); };
-    if (era_of(end) > m_era && std::ranges::any_of(m_zones | std::views::values, is_from_before))
+    if (era_of(end) > m_era &&
+        std::ranges::any_of(m_zones, is_from_before, &decltype(m_zones)::value_type::second))
         m_listing_due = now + rewriting_time;
     m_era = std::max(m_era, era_of(end));
     if (m_listing_due && now >= *m_listing_due)
@@ -43,8 +43,8 @@
     }
     for (auto& [zone, known] : m_zones)
     {
-        const bool is_listed = std::ranges::any_of(listing, [&](const zone_evacuation& item)
-                                                   { return item.zone == zone; });
+        const bool is_listed =
+            std::ranges::find(listing, zone, &zone_evacuation::zone) != listing.end();
         if (!known.is_evacuated || is_listed || known.offset >= end || stays(known))
             continue;
         known = {end - 1, false, now};
