Coordinator: a record of an earlier coordinator on a copy delays no claim

Cause: if the copy named an earlier coordinator than the one that was lost, each claim took it for news of another coordinator and waited for its pushes again. No process claimed any more. Change: a record of an earlier era that is older than the known owners is neither adopted nor waited for.

--- a/src/router/coordinator_record.cpp
+++ b/src/router/coordinator_record.cpp
@@ -128,12 +128,14 @@
                      " end=" + std::to_string(newest->end) + " known=" + std::to_string(known));
         if (continue_own_claim(*base, *newest, call_start))
             co_return;
-        const bool is_new =
-            base->record.version > known || !(base->record.coordinator == m_state.coordinator);
         // The record takes precedence over the received state updates: the version of a push may be
-        // ahead of changes that the push does not contain.
-        if (epoch_era(base->record.version) == era_of(newest->end) ||
-            base->record.version > m_state.ownership_version)
+        // ahead of changes that the push does not contain. In a restored store it may be of an
+        // earlier coordinator than the one known, which is no reason to wait for that one.
+        const bool is_current = epoch_era(base->record.version) == era_of(newest->end) ||
+                                base->record.version > m_state.ownership_version;
+        const bool is_new = is_current && (base->record.version > known ||
+                                           !(base->record.coordinator == m_state.coordinator));
+        if (is_current)
             m_state.adopt_record(base->record);
         // Another process may hold the role, and will send a push soon.
         if (is_new && m_state.coordinator.address != m_state.self.address && known != 0)
