Coordinator: an own claim on the copy of a restored store is not continued

Cause: a claim whose answer was lost counts as made if it is the newest record. In a restored store the record of a successor may be gone, which may still grant: two coordinators. Change: the record has to be of the era of the store; otherwise the process claims anew, with the wait for all leases. Measured: unit_restored_claims::an_own_claim_on_the_copy_is_not_continued failed before and passes.

--- a/src/router/coordinator_record.cpp
+++ b/src/router/coordinator_record.cpp
@@ -158,6 +158,9 @@
     if (!(base.record.coordinator == m_state.self) || !times || claimed_epoch <= m_term.epoch() ||
         claimed_epoch < m_state.max_ownership_version >> epoch_shift)
         return false;
+    // In a restored store the record of a successor may be gone.
+    if (epoch_era(base.record.version) != era_of(newest.end))
+        return false;
     m_state.counters.count("claims");
     log_info(log_part::ownership, "claim found on record epoch=" + std::to_string(claimed_epoch));
     m_stream_end = newest.end;
