Coordinator: known owners count also in a process of the first start

Cause: with first_start, which stays set while the process runs, a copy without any record counted as a new deployment: the claim had no owners and no wait although owners were known. Change: only a process that knows no owners takes it for the first start. Measured: unit_restored_claims 3 of 3; unit_restored_store 16, unit_role_claim 14, unit_worker_views 12, unit_router_state 17, all pass.

--- a/src/router/coordinator_restore.cpp
+++ b/src/router/coordinator_restore.cpp
@@ -66,8 +66,9 @@
                                        std::uint64_t stream_end) const
 {
     const auto era = era_of(stream_end);
-    const bool is_restored =
-        base ? epoch_era(base->record.version) < era : era > 0 && !m_state.settings.is_first_start;
+    // Without a record this is the first start, unless owners are known here.
+    const bool is_first = m_state.settings.is_first_start && m_state.ownership_version == 0;
+    const bool is_restored = base ? epoch_era(base->record.version) < era : era > 0 && !is_first;
     if (!is_restored)
         return false;
     if (m_state.ownership_version > (base ? base->record.version : 0))
