--- a/tests/src/session-store_era.cpp
+++ b/tests/src/session-store_era.cpp
@@ -195,7 +195,7 @@
                 else
                 {
                     reply.body = R"({"items":[],"has_more":false,"end_offset":3})";
-                    reply.fields.emplace_back("Store-Era", "1");
+                    reply.fields.push_back({"Store-Era", "1"});
                 }
                 co_return reply;
             },
--- a/tests/standins/store_standin.cpp
+++ b/tests/standins/store_standin.cpp
@@ -172,7 +172,7 @@
     if (m_era != era)
         reply = status_only(503);
     if (m_era > 0)
-        reply.fields.emplace_back("Store-Era", std::to_string(m_era));
+        reply.fields.push_back({"Store-Era", std::to_string(m_era)});
     co_return reply;
 }
 
