--- a/tests/src/session-store_era.cpp
+++ b/tests/src/session-store_era.cpp
@@ -199,7 +199,7 @@
                 }
                 co_return reply;
             },
-            [](bool, bool) { return http_reply(); });
+            [](request_defect) { return http_reply(); });
         listener.start();
         platform::store_client client(it.context.get_executor(), late_address);
         auto outcome = append_outcome::lost_race;
