--- a/src/http/caller_connection.hpp
+++ b/src/http/caller_connection.hpp
@@ -19,6 +19,9 @@
 namespace eelgrassrail
 {
 
+/// @brief Whether the peer has closed or reset the connection and no received data is left to read.
+[[nodiscard]] bool is_closed(boost::asio::ip::tcp::socket& socket);
+
 /// Safe requests without a body that a caller sends before it has received earlier responses are
 /// served at the same time. Any other request waits for the responses before it.
 class caller_connection : public std::enable_shared_from_this<caller_connection>
