--- a/include/eelgrassrail/routing/send_backoff.hpp
+++ b/include/eelgrassrail/routing/send_backoff.hpp
@@ -29,6 +29,11 @@
     /// processes from retrying at the same time
     void on_rejected(instant now, double random_sample) noexcept;
 
+    /// @brief Records that the worker rejected a request although it is known to have free slots.
+    /// Such a worker rejects some requests by chance, whoever sends them, so the backoff stays
+    /// short.
+    void on_rejected_by_chance(instant now, double random_sample) noexcept;
+
     /// @brief Records that the worker answered a request. This ends the backoff and shortens the
     /// next one.
     void on_answered() noexcept;
@@ -37,6 +42,8 @@
     [[nodiscard]] double remaining_backoff_ms(instant now) const noexcept;
 
   private:
+    void start_backoff(instant now, double random_sample) noexcept;
+
     std::size_t m_tolerated_rejections;
     std::size_t m_consecutive_rejections{}; ///< halved by each answer
     instant m_backoff_until{};
--- a/src/router/request_fields.hpp
+++ b/src/router/request_fields.hpp
@@ -29,6 +29,8 @@
     millis took{};
     bool is_reused{};    ///< sent over an idle connection of the pool
     bool is_cancelled{}; ///< cancelled by this process before anything was written
+    /// The request was for a key whose owner is known to have a free slot.
+    bool has_free_owner{};
 };
 
 /// While workers drop idle connections, a non-idempotent request uses only a connection that was
--- a/src/router/request_forwarder.cpp
+++ b/src/router/request_forwarder.cpp
@@ -247,7 +247,10 @@
     const bool is_full = !has_free_slot &&
                          (kind == reply_kind::not_executed || kind == reply_kind::lost) &&
                          now < request.deadline;
-    record_result(entry, *link, {kind, took, exchange.reused, exchange.cancelled});
+    // The load of a worker with a rate limit is not known, and its rejections may be due to that.
+    const bool has_free_owner = request.settings->is_sharded && has_free_slot &&
+                                !m_state.rate_limit_of(entry.life.id).has_value();
+    record_result(entry, *link, {kind, took, exchange.reused, exchange.cancelled, has_free_owner});
     // A worker that refuses connections may be back later, and cold.
     if (exchange.refused)
         m_state.presume_pace(entry.life.id, *request.settings, now);
@@ -380,7 +383,9 @@
         zone.on_rejected(now, sample());
     else if (!is_unreached && result.kind != reply_kind::lost)
         zone.on_answered();
-    if (result.kind == reply_kind::not_executed || is_unreached || is_immediate_reset)
+    if (result.kind == reply_kind::not_executed && result.has_free_owner)
+        link.backoff.on_rejected_by_chance(now, sample());
+    else if (result.kind == reply_kind::not_executed || is_unreached || is_immediate_reset)
         link.backoff.on_rejected(now, sample());
     else if (result.kind == reply_kind::answer)
         link.backoff.on_answered();
--- a/src/routing/send_backoff.cpp
+++ b/src/routing/send_backoff.cpp
@@ -26,6 +26,22 @@
         m_consecutive_rejections = 0;
     m_last_rejection = now;
     ++m_consecutive_rejections;
+    start_backoff(now, random_sample);
+}
+
+void send_backoff::on_rejected_by_chance(instant now, double random_sample) noexcept
+{
+    // Rejections for lack of room that came before still count.
+    const auto most = std::max(m_consecutive_rejections, m_tolerated_rejections + 1);
+    on_rejected(now, random_sample);
+    if (m_consecutive_rejections <= most)
+        return;
+    m_consecutive_rejections = most;
+    start_backoff(now, random_sample);
+}
+
+void send_backoff::start_backoff(instant now, double random_sample) noexcept
+{
     if (m_consecutive_rejections <= m_tolerated_rejections)
         return;
     const double full_backoff_ms =
--- a/tests/src/unit-send_window.cpp
+++ b/tests/src/unit-send_window.cpp
@@ -107,6 +107,8 @@
     CPPUNIT_TEST(pauses_grow_and_are_bounded);
     CPPUNIT_TEST(an_answer_opens_it);
     CPPUNIT_TEST(rejections_long_ago_do_not_count);
+    CPPUNIT_TEST(an_owner_with_free_slots_that_rejects_by_chance);
+    CPPUNIT_TEST(chance_does_not_shorten_a_backoff_for_lack_of_room);
     CPPUNIT_TEST(the_onset_of_a_hot_key);
     CPPUNIT_TEST(answers_of_one_instant_are_no_rate);
     CPPUNIT_TEST_SUITE_END();
@@ -161,6 +163,45 @@
         CPPUNIT_ASSERT_EQUAL(0.0, backoff.remaining_backoff_ms(later));
     }
 
+    /// The owner of some keys rejects 55 of 100 requests for some seconds while it has free slots.
+    /// Guards against processes that refuse requests which it would mostly run.
+    void an_owner_with_free_slots_that_rejects_by_chance()
+    {
+        constexpr int requests = 2'000;
+        constexpr millis interval{300};
+        const auto refused_here = [interval](bool knows_load)
+        {
+            std::mt19937 random(3);
+            std::uniform_real_distribution<double> draw(0, 1);
+            send_backoff backoff;
+            int refused = 0;
+            auto now = start_time;
+            for (int n = 0; n < requests; ++n, now += interval)
+                if (backoff.remaining_backoff_ms(now) > 0)
+                    ++refused;
+                else if (draw(random) >= 0.55)
+                    backoff.on_answered();
+                else if (knows_load)
+                    backoff.on_rejected_by_chance(now, draw(random));
+                else
+                    backoff.on_rejected(now, draw(random));
+            return refused;
+        };
+        CPPUNIT_ASSERT(refused_here(false) > requests / 4);
+        CPPUNIT_ASSERT_EQUAL(0, refused_here(true));
+    }
+
+    /// Guards against a flood when the known load of a worker is out of date.
+    void chance_does_not_shorten_a_backoff_for_lack_of_room()
+    {
+        send_backoff backoff;
+        for (int n = 0; n < 4; ++n)
+            backoff.on_rejected(start_time, 0.5);
+        const double before = backoff.remaining_backoff_ms(start_time);
+        backoff.on_rejected_by_chance(start_time, 0.5);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(before, backoff.remaining_backoff_ms(start_time), 1.0);
+    }
+
     void the_onset_of_a_hot_key()
     {
         for (const double update_age_ms : {250.0, 1'000.0, 5'000.0})
