--- a/include/eelgrassrail/router/key_coordinator.hpp
+++ b/include/eelgrassrail/router/key_coordinator.hpp
@@ -20,7 +20,6 @@
 #include <eelgrassrail/grants/worker_speed.hpp>
 #include <eelgrassrail/limits/pace_controller.hpp>
 #include <eelgrassrail/limits/permit_ledger.hpp>
-#include <eelgrassrail/limits/silence_watch.hpp>
 #include <eelgrassrail/router/coordinator_channels.hpp>
 #include <eelgrassrail/router/permit_message.hpp>
 #include <eelgrassrail/router/router_state.hpp>
@@ -85,8 +84,7 @@
         double admissible{1.0};               ///< part of the demand that its rate limit may admit
         double capacity{};                    ///< requests per second, as used by the last plan
         admission_ratio_controller admission; ///< admission ratio of the requests for its keys
-        silence_watch silence;
-        worker_load last_pushed; ///< as last pushed
+        worker_load last_pushed;              ///< as last pushed
     };
 
     /// The pace of one incarnation of a worker.
@@ -166,7 +164,6 @@
     void announce_limits(instant now);
     void start_paces(instant now);
     void start_pace(const known_worker& worker, instant cold_until, instant now);
-    [[nodiscard]] bool is_overdue(const known_worker& worker, instant now) const;
     void presume_cold(const known_worker& worker, instant now);
     void update_paces(instant now);
     void add_to_pace(const worker_report& report);
--- a/src/router/coordinator_limits.cpp
+++ b/src/router/coordinator_limits.cpp
@@ -78,7 +78,8 @@
     // A process that asks for a worker without a limit has found it to be cold or unreachable. A
     // renewed entry shows that it is warm.
     if (const auto* known = m_state.workers.find(request.worker);
-        !request.is_limited && known != nullptr && is_overdue(*known, now))
+        !request.is_limited && known != nullptr &&
+        now - known->changed > 2 * m_state.settings.worker_heartbeat)
         presume_cold(*known, now);
     decision = m_pace_permits.take(request.worker, request.is_urgent, now);
     if (decision.is_granted)
--- a/src/router/coordinator_paces.cpp
+++ b/src/router/coordinator_paces.cpp
@@ -37,14 +37,7 @@
     return it == m_usual_ms.end() ? default_run_ms : it->second;
 }
 
-/// Whether the worker has not renewed its entry for longer than one late heartbeat explains.
-bool key_coordinator::is_overdue(const known_worker& worker, instant now) const
-{
-    return now - worker.changed > 2 * m_state.settings.worker_heartbeat;
-}
-
-/// Starts the paces of the workers whose entries say that they are cold, and of those that do not
-/// respond: they may be cold when they are back.
+/// Starts the paces of the workers whose entries say that they are cold.
 void key_coordinator::start_paces(instant now)
 {
     if (!m_state.routes)
@@ -54,14 +47,8 @@
         if (settings.cold_per_s <= 0)
             continue;
         for (const auto* worker : m_state.workers.ready(settings.name))
-        {
             if (worker->is_cold(now))
                 start_pace(*worker, worker->changed + millis(worker->entry.cold_ms), now);
-            auto& record = m_workers[worker->entry.life.id];
-            record.silence.on_load(record.in_flight, now);
-            if (record.silence.is_silent(usual_ms(settings.name), now) && is_overdue(*worker, now))
-                presume_cold(*worker, now);
-        }
     }
 }
 
@@ -102,8 +89,7 @@
 void key_coordinator::presume_cold(const known_worker& worker, instant now)
 {
     const auto unknown_time = 2 * m_state.settings.worker_heartbeat;
-    const bool is_known = m_paces.contains(worker.entry.life.id);
-    if (is_known && m_paces.find(worker.entry.life.id)->second.presumed_at == instant{})
+    if (m_paces.contains(worker.entry.life.id))
         return;
     start_pace(worker, now + unknown_time, now);
     if (const auto it = m_paces.find(worker.entry.life.id); it != m_paces.end())
--- a/src/router/coordinator_updates.cpp
+++ b/src/router/coordinator_updates.cpp
@@ -169,7 +169,6 @@
             worker.speed.add(time);
         m_permits.on_completed(item.id, item.answers + item.failures, now);
         m_pace_permits.on_completed(item.id, item.answers + item.failures, now);
-        worker.silence.on_report(item.answers + item.failures, now);
         add_to_pace(item);
         constexpr double smoothing_factor = 0.1;
         const auto* known = m_state.workers.find(item.id);
--- a/tests/src/unit-pace.cpp
+++ b/tests/src/unit-pace.cpp
@@ -4,7 +4,6 @@
 #include <eelgrassrail/limits/limit_table.hpp>
 #include <eelgrassrail/limits/pace_controller.hpp>
 #include <eelgrassrail/limits/permit_ledger.hpp>
-#include <eelgrassrail/limits/silence_watch.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -85,47 +84,9 @@
     CPPUNIT_TEST(a_new_coordinator_starts_with_empty_buckets);
     CPPUNIT_TEST(a_presumed_pace_gives_way_to_the_announced_one);
     CPPUNIT_TEST(a_new_coordinator_that_knows_no_pace_keeps_the_presumed_one);
-    CPPUNIT_TEST(a_worker_that_responds_to_nothing_is_silent);
-    CPPUNIT_TEST(a_worker_without_requests_is_not_silent);
-    CPPUNIT_TEST(long_runs_are_no_silence);
     CPPUNIT_TEST_SUITE_END();
 
   public:
-    /// Guards against a flood at a worker that was paused, turned cold, and is back before its next
-    /// entry says so.
-    void a_worker_that_responds_to_nothing_is_silent()
-    {
-        constexpr double run_ms = 200;
-        silence_watch watch;
-        watch.on_load(4, start_time);
-        watch.on_report(2, start_time + millis(500));
-        CPPUNIT_ASSERT(!watch.is_silent(run_ms, start_time + millis(1'499)));
-        CPPUNIT_ASSERT(watch.is_silent(run_ms, start_time + millis(1'500)));
-        watch.on_report(0, start_time + millis(1'600));
-        CPPUNIT_ASSERT(watch.is_silent(run_ms, start_time + millis(1'600)));
-        watch.on_report(1, start_time + millis(1'700));
-        CPPUNIT_ASSERT(!watch.is_silent(run_ms, start_time + millis(1'700)));
-    }
-
-    void a_worker_without_requests_is_not_silent()
-    {
-        silence_watch watch;
-        CPPUNIT_ASSERT(!watch.is_silent(200, start_time + millis(5'000)));
-        watch.on_load(1, start_time);
-        watch.on_load(0, start_time + millis(900));
-        watch.on_load(1, start_time + millis(4'500));
-        CPPUNIT_ASSERT(!watch.is_silent(200, start_time + millis(5'000)));
-    }
-
-    /// Guards against pacing a worker whose few requests take long.
-    void long_runs_are_no_silence()
-    {
-        silence_watch watch;
-        watch.on_load(1, start_time);
-        CPPUNIT_ASSERT(!watch.is_silent(900, start_time + millis(2'600)));
-        CPPUNIT_ASSERT(watch.is_silent(900, start_time + millis(2'800)));
-    }
-
     /// A fixed share left workers idle long after they had warmed up.
     void a_worker_that_answers_gets_more_until_it_is_warm()
     {
