--- a/include/eelgrassrail/http/request_defect.hpp
+++ b/include/eelgrassrail/http/request_defect.hpp
@@ -17,7 +17,7 @@
     no_memory ///< the process is short of memory; the request was not read whole
 };
 
-/// @brief The error kind that the caller is told.
+/// @brief The error kind of the refusal that the caller gets.
 [[nodiscard]] constexpr error_kind kind_of(request_defect defect) noexcept
 {
     switch (defect)
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -375,7 +375,7 @@
             co_return needs_eof;
         }
         result.result = exchange_result::complete;
-        // A copy of an unnamed reply could not be told from the next request's.
+        // A duplicate of a reply without an id would be taken for the reply to the next request.
         result.keep_alive = keep_alive && used.buf.size() == 0 && owner == reply_owner::named;
         result.reply = std::move(reply);
         co_return true;
--- a/src/limits/limit_table.cpp
+++ b/src/limits/limit_table.cpp
@@ -27,7 +27,7 @@
 
 constexpr double unsupervised_next_ms = 50;
 
-/// Longest time after which a caller is told to return, and the limit below which it is that long.
+/// Maximum Retry-After of a refusal, and the rate limit in requests/s below which it applies.
 constexpr double max_queue_ms = 10'000;
 constexpr double min_per_s = 0.1;
 
--- a/src/limits/permit_ledger.cpp
+++ b/src/limits/permit_ledger.cpp
@@ -50,7 +50,7 @@
 /// Time for which a limit counts as confirmed after the last permit.
 constexpr millis confirmation_time{5'000};
 
-/// Longest time after which a caller is told to return.
+/// Maximum Retry-After of a refusal.
 constexpr millis max_queue_time{10'000};
 
 /// A process that was denied a permit does not ask again for at least this time.
--- a/src/router/worker_selection.cpp
+++ b/src/router/worker_selection.cpp
@@ -128,7 +128,7 @@
     const auto decision =
         admit(make_worker_option(*worker, now), make_admission_inputs(request, *worker, now));
     constexpr double ms_in_s = 1'000.0;
-    constexpr double min_per_s = 0.1; // callers are not told to wait for longer than 10 s
+    constexpr double min_per_s = 0.1; // bounds Retry-After to 10 s
     wait_ms = decision.retry_after_ms;
     if (const auto limit = m_state.rate_limit_of(worker->entry.life.id))
         wait_ms = std::max(wait_ms, ms_in_s / std::max(*limit, min_per_s));
