Ownership: a second restore of the store does not end the wait for lost records

Cause: a process that claims in a restored store grants nothing until the leases of lost records have ended. coordinator_term::begin set this wait anew, and the path that writes the record again after a restore passed none, so the second restore ended the wait at once. The wait was owned by each path that begins a term; now coordinator_term owns it and nothing shortens it.

The same cause on related paths: a coordinator whose term has lapsed when it sees a restore may have had a successor whose record is gone; it waits as a claimer does.

Ruled out: a second claimer (no line), a wait that is too short (no grant before the second restore). Both lines that begin a term now name the time without grants.

Test replaced: the last assertion of a_term_grants_nothing_before_its_wait_has_ended asked that a later term forgets the wait, which is the fault. a_later_term_keeps_the_wait asks for the opposite, to the millisecond.

--- a/include/eelgrassrail/grants/coordinator_term.hpp
+++ b/include/eelgrassrail/grants/coordinator_term.hpp
@@ -3,6 +3,8 @@
 
 #include <eelgrassrail/grants/role_claim.hpp>
 
+#include <algorithm>
+
 namespace eelgrassrail
 {
 
@@ -16,8 +18,16 @@
     /// @param earlier_leases_until when all leases granted in earlier epochs have ended
     void begin(std::uint64_t epoch, instant confirmed_at, instant earlier_leases_until) noexcept;
 
-    /// @brief Allows no grants before an instant: the owners on record may not be the latest.
-    void hold_grants(instant until) noexcept { m_grants_from = until; }
+    /// @brief Allows no grants before an instant: the owners on record may not be the latest. A
+    /// later instant stays in force, in later terms too.
+    void hold_grants(instant until) noexcept { m_grants_from = std::max(m_grants_from, until); }
+
+    /// @brief Whether the absence of a successor was last confirmed so long ago that one may have
+    /// granted.
+    [[nodiscard]] bool has_lapsed(instant now) const noexcept
+    {
+        return now >= m_confirmed_at + role_lease;
+    }
 
     /// @brief Remaining time without grants.
     [[nodiscard]] millis grant_hold(instant now) const noexcept;
@@ -35,7 +45,7 @@
 
     [[nodiscard]] bool may_grant(instant now) const noexcept
     {
-        return m_is_active && now < m_confirmed_at + role_lease && now >= m_grants_from;
+        return m_is_active && !has_lapsed(now) && now >= m_grants_from;
     }
 
     /// @brief The lease times for a record that is appended from `now` on.
@@ -47,7 +57,8 @@
     std::uint64_t m_epoch{};
     instant m_confirmed_at{};
     instant m_earlier_leases_until{};
-    instant m_grants_from{}; ///< none: at once
+    instant m_grants_from{}; ///< none: at once; never decreases, as no term makes up for grants
+                             ///< that an earlier one did not know
 };
 
 } // namespace eelgrassrail
--- a/src/grants/coordinator_term.cpp
+++ b/src/grants/coordinator_term.cpp
@@ -13,7 +13,6 @@
     m_epoch = epoch;
     m_confirmed_at = confirmed_at;
     m_earlier_leases_until = earlier_leases_until;
-    m_grants_from = {};
 }
 
 void coordinator_term::confirm(instant call_start) noexcept
--- a/src/grants/role_claim.cpp
+++ b/src/grants/role_claim.cpp
@@ -32,7 +32,7 @@
     {
         // A coordinator whose record is gone may send grants until it learns of the restore.
         m_known_until = std::max(m_known_until, now + role_lease + who.lease);
-        m_grants_from = m_known_until;
+        m_grants_from = std::max(m_grants_from, m_known_until);
     }
     if (!who.members.empty())
         m_record.members = who.members;
--- a/src/router/coordinator_restore.cpp
+++ b/src/router/coordinator_restore.cpp
@@ -20,7 +20,9 @@
 } // namespace
 
 /// Writes the record of the coordinator in office again, under a new epoch of its own. It knows all
-/// grants, so they stay in force. Nothing else is recorded before.
+/// grants since it began to grant, so they stay in force; a wait of its term goes on. If its term
+/// has lapsed, the record of a successor may be gone, and it waits as a claimer does. Nothing else
+/// is recorded before.
 /// @param newest the listing of the ownership stream that showed the restore
 /// @param base the record in it, if it can be decoded
 asio::awaitable<void> key_coordinator::record_after_restore(stream_page newest,
@@ -38,6 +40,8 @@
         co_return;
     }
     const auto term = m_term.epoch();
+    if (m_term.has_lapsed(call_start))
+        m_term.hold_grants(call_start + role_lease + m_grants.longest_lease());
     auto record = make_record(m_state.maps, call_start);
     record.version = first_version_of(era, m_state.max_ownership_version);
     const auto earlier = record.find_lease_times().value_or(lease_times{}).earlier;
@@ -47,6 +51,7 @@
                 "store restored from a copy era=" + std::to_string(era) +
                     " record_on_copy=" + std::to_string(base ? base->record.version : 0) +
                     " version=" + std::to_string(record.version) +
+                    " no_grants_ms=" + std::to_string(m_term.grant_hold(call_start).count()) +
                     " written=" + (end == append_outcome::done ? "1" : "0"));
     if (!m_term.is_active() || term != m_term.epoch())
         co_return;
--- a/src/router/key_coordinator.cpp
+++ b/src/router/key_coordinator.cpp
@@ -162,7 +162,8 @@
 /// @param before the coordinator that the claim supersedes; no address: none, or not known
 /// @param confirmed_at start of the call that showed the record
 /// @param earlier_until when all leases granted in earlier epochs have ended
-/// @param grants_from nothing is granted before; none: the owners on record are the latest
+/// @param grants_from nothing is granted before; none: the owners on record are the latest. A later
+/// instant of an earlier term stays in force.
 void key_coordinator::start_coordinating(const ownership_record& record,
                                          const coordinator_identity& before, instant confirmed_at,
                                          instant earlier_until, instant grants_from)
@@ -195,9 +196,11 @@
                 if (!incarnation.id.empty())
                     m_grants.on_earlier_leases(incarnation, earlier_until);
         }
-    log_info(log_part::ownership, "leases of earlier coordinators end in_ms=" +
-                                      ms_text(std::max(earlier_until, now) - now) +
-                                      " unfinished_moves=" + std::to_string(unfinished));
+    log_info(
+        log_part::ownership,
+        "leases of earlier coordinators end in_ms=" + ms_text(std::max(earlier_until, now) - now) +
+            " no_grants_ms=" + std::to_string(m_term.grant_hold(now).count()) +
+            " unfinished_moves=" + std::to_string(unfinished));
     m_next_renewal = now + renewal_interval;
     m_next_push = now;
     // Reports are collected first, so that the first plan is based on measured loads.
--- a/tests/model/fault_history.cpp
+++ b/tests/model/fault_history.cpp
@@ -87,6 +87,7 @@
                  { now.refused_calls = model_conditions().refused_calls; });
          }},
         {"store_outage", 1.0, [](fault_history& it, chance& random) { it.store_outage(random); }},
+        {"restore_store", 1.0, [](fault_history& it, chance& random) { it.restore_store(random); }},
         {"cut_store", 1.0, [](fault_history& it, chance& random) { it.cut_store(random); }},
         {"blind_coordinator", 1.5,
          [](fault_history& it, chance& random) { it.blind_coordinator(random); }},
@@ -441,6 +442,25 @@
     }
 }
 
+/// The store comes back from a copy, once or several times in series; the coordinator may end, or
+/// all processes.
+void fault_history::restore_store(chance& random)
+{
+    constexpr std::size_t max_restores = 3;
+    const auto count = 1 + random.below(max_restores);
+    auto at = boot_clock::duration{};
+    for (std::size_t n = 0; n < count; ++n)
+    {
+        m_world.events().after(at, [this, age = random.ms(100, 5'000)]
+                               { m_world.store().restore(age); });
+        at += random.ms(200, 9'000);
+    }
+    if (random.is(0.15))
+        kill_all(random);
+    else if (random.is(0.5))
+        kill_coordinator(random);
+}
+
 void fault_history::kill_worker(chance& random)
 {
     const auto worker = any_worker(random);
--- a/tests/model/fault_history.hpp
+++ b/tests/model/fault_history.hpp
@@ -54,6 +54,7 @@
     void lost_successors(chance& random);
     void cut_store(chance& random);
     void store_outage(chance& random);
+    void restore_store(chance& random);
     void kill_worker(chance& random);
     void reuse_address(chance& random);
     void foreign_entry(chance& random);
--- a/tests/model/model_store.cpp
+++ b/tests/model/model_store.cpp
@@ -2,6 +2,7 @@
 #include "model_store.hpp"
 
 #include "model_clock.hpp"
+#include <eelgrassrail/core/stream_position.hpp>
 #include <eelgrassrail/grants/ownership_record.hpp>
 #include <eelgrassrail/peers/codec.hpp>
 
@@ -71,10 +72,11 @@
     else
         log.newest[key] = offset;
     log.records.push_back({offset, key, std::move(value)});
+    log.appended.push_back(model_now());
     std::vector<std::function<void()>> woken;
     for (auto it = m_waiting.begin(); it != m_waiting.end();)
     {
-        const bool is_due = it->stream == stream && it->from <= offset;
+        const bool is_due = it->stream == stream && it->from <= make_position(m_era, offset);
         if (is_due)
             woken.push_back(std::move(it->wake));
         it = is_due ? m_waiting.erase(it) : std::next(it);
@@ -88,11 +90,7 @@
     auto& log = log_of(platform_stream::ownership);
     if (log.records.size() <= kept)
         return;
-    const auto first = log.records.size() - kept;
-    for (auto n = log.first; n < first; ++n)
-        if (n + 1 < log.records.size()) // the newest one is retained
-            log.records[n].value = {};
-    log.first = std::max<std::uint64_t>(log.first, first);
+    log.first = std::max<std::uint64_t>(log.first, log.records.size() - kept);
 }
 
 void model_store::compact_workers()
@@ -101,10 +99,37 @@
     log.first = log.records.size();
 }
 
+void model_store::restore(boot_clock::duration age)
+{
+    ++m_era;
+    auto& log = log_of(platform_stream::ownership);
+    const auto kept = static_cast<std::size_t>(
+        std::ranges::upper_bound(log.appended, model_now() - age) - log.appended.begin());
+    m_journal.add_line("store: restored era=" + std::to_string(m_era) +
+                       " lost=" + std::to_string(log.records.size() - kept));
+    log.records.resize(kept);
+    log.appended.resize(kept);
+    log.first = std::min<std::uint64_t>(log.first, kept);
+    log.newest.clear();
+    if (kept > 0)
+        log.newest[only_key] = kept - 1;
+    const auto ended = std::exchange(m_waiting, {});
+    std::ranges::for_each(ended, [](const waiting_read& it) { it.wake(); });
+}
+
+bool model_store::is_accepted(std::size_t process, std::uint64_t era)
+{
+    auto& seen = m_seen_eras[process];
+    const bool is_latest = era >= seen;
+    seen = std::max(seen, era);
+    return is_latest;
+}
+
 model_store::call_fate model_store::draw_fate(std::size_t process, bool is_append)
 {
     constexpr double max_usual_ms = 5.0;
     call_fate fate;
+    fate.process = process;
     const bool is_slow = m_random.is(m_conditions.slow_calls);
     fate.way = is_slow ? m_random.ms(150, 500) : m_random.ms(0.5, max_usual_ms);
     fate.back = is_slow ? m_random.ms(150, 400) : m_random.ms(0.5, max_usual_ms);
@@ -128,14 +153,17 @@
     constexpr std::size_t max_records = 200;
     const auto& log = log_of(stream);
     stream_page page;
-    page.has_gap = from < log.first;
-    page.end = from;
-    if (page.has_gap || from >= log.records.size())
+    const auto first = offset_of(from);
+    page.has_gap = era_of(from) < m_era || first < log.first;
+    page.end = make_position(m_era, first);
+    if (page.has_gap || first >= log.records.size())
         return page;
-    const auto count = std::min<std::size_t>(log.records.size() - from, max_records);
-    const auto begin = log.records.begin() + static_cast<std::ptrdiff_t>(from);
+    const auto count = std::min<std::size_t>(log.records.size() - first, max_records);
+    const auto begin = log.records.begin() + static_cast<std::ptrdiff_t>(first);
     page.records.assign(begin, begin + static_cast<std::ptrdiff_t>(count));
-    page.end = from + count;
+    for (auto& record : page.records)
+        record.offset = make_position(m_era, record.offset);
+    page.end = make_position(m_era, first + count);
     return page;
 }
 
@@ -143,9 +171,12 @@
 {
     const auto& log = log_of(stream);
     stream_page page;
-    page.end = log.records.size();
+    page.end = make_position(m_era, log.records.size());
     for (const auto& [key, offset] : log.newest)
+    {
         page.records.push_back(log.records[offset]);
+        page.records.back().offset = make_position(m_era, offset);
+    }
     return page;
 }
 
@@ -157,10 +188,15 @@
     if (page.has_gap)
         page.end = 0;
     m_events.after(fate.back,
-                   [slot, answer = std::move(page)]
+                   [this, slot, answer = std::move(page), process = fate.process, era = m_era]
                    {
-                       if (const auto to = slot.lock())
+                       const auto to = slot.lock();
+                       if (!to)
+                           return;
+                       if (is_accepted(process, era))
                            to->set(answer);
+                       else
+                           to->set(std::nullopt);
                    });
 }
 
@@ -202,6 +238,12 @@
     const std::weak_ptr<page_slot> weak = slot;
     const auto until = model_now() + call_timeout + wait;
     const auto fate = draw_fate(caller.process, false);
+    if (era_of(from) < m_seen_eras[caller.process])
+    {
+        stream_page gap;
+        gap.has_gap = true;
+        co_return gap;
+    }
     if (fate.is_refused)
         m_events.after(fate.back,
                        [weak]
@@ -278,7 +320,8 @@
                                            std::uint64_t at, const std::string& note)
 {
     auto& log = log_of(platform_stream::ownership);
-    const bool is_done = log.records.size() == at;
+    // After a restore the condition may hold by chance.
+    const bool is_done = log.records.size() == offset_of(at);
     const auto record = read_message<ownership_record>(text).value();
     const bool is_claim = (record.version << epoch_shift) == 0;
     if (is_claim)
@@ -287,7 +330,7 @@
                            " version=" + version_text(record.version) +
                            " at=" + std::to_string(at) + (is_done ? " done" : " lost race") + note);
     if (!is_done)
-        return append_outcome::lost_race;
+        return era_of(at) == m_era ? append_outcome::lost_race : append_outcome::unknown;
     m_claims += is_claim ? 1 : 0;
     if (is_claim && !record.coordinator.address.empty())
         note_claim(record);
@@ -295,7 +338,7 @@
     put(platform_stream::ownership, only_key, text);
     if (m_on_append)
         m_on_append({caller.process, is_claim, true});
-    return append_outcome::done;
+    return era_of(at) == m_era ? append_outcome::done : append_outcome::unknown;
 }
 
 asio::awaitable<append_outcome> model_store::append(store_caller caller, std::string text,
@@ -305,6 +348,8 @@
     const std::weak_ptr<outcome_slot> weak = slot;
     const auto until = model_now() + call_timeout;
     auto fate = draw_fate(caller.process, true);
+    if (era_of(at) < m_seen_eras[caller.process])
+        co_return append_outcome::lost_race;
     const auto record = read_message<ownership_record>(text).value();
     sent_append sent;
     sent.process = caller.process;
@@ -339,10 +384,14 @@
                            if (!fate.is_answered)
                                return;
                            m_events.after(fate.back,
-                                          [weak, outcome]
+                                          [this, weak, outcome, process = fate.process, era = m_era]
                                           {
-                                              if (const auto to = weak.lock())
-                                                  to->set(outcome);
+                                              const auto to = weak.lock();
+                                              if (!to)
+                                                  return;
+                                              to->set(is_accepted(process, era)
+                                                          ? outcome
+                                                          : append_outcome::unknown);
                                           });
                        });
     }
--- a/tests/model/model_store.hpp
+++ b/tests/model/model_store.hpp
@@ -61,6 +61,9 @@
     void compact(std::size_t kept);
     /// @brief Deletes the history of the workers' entries; the newest ones stay listed.
     void compact_workers();
+    /// @brief Replaces the ownership stream by a copy of an earlier instant. The other streams lose
+    /// nothing, as if their writers had written again.
+    void restore(boot_clock::duration age);
     /// @brief Whether there is an entry of a worker.
     [[nodiscard]] bool is_listed(const std::string& id) const
     {
@@ -77,8 +80,9 @@
   private:
     struct stream_log
     {
-        std::vector<stream_record> records;
-        std::uint64_t first{}; ///< offset of the first record that is retained
+        std::vector<stream_record> records; ///< with offsets of no era
+        std::vector<instant> appended;      ///< when, by offset
+        std::uint64_t first{};              ///< offset of the first record that is retained
         std::map<std::string, std::uint64_t> newest; ///< offset by key
     };
     struct waiting_read
@@ -90,6 +94,7 @@
     /// How a call ends.
     struct call_fate
     {
+        std::size_t process{};
         bool is_executed{};
         bool is_answered{};
         bool is_refused{};
@@ -110,6 +115,8 @@
     void note_claim(const ownership_record& claim);
     [[nodiscard]] call_fate draw_fate(std::size_t process, bool is_append);
     void answer(const std::weak_ptr<page_slot>& slot, stream_page page, const call_fate& fate);
+    /// Whether an answer of an era counts at a process: it has seen no later one.
+    [[nodiscard]] bool is_accepted(std::size_t process, std::uint64_t era);
     void execute_read(const std::weak_ptr<page_slot>& slot, platform_stream stream,
                       std::uint64_t from, millis wait, const call_fate& fate);
     append_outcome execute_append(const store_caller& caller, const std::string& text,
@@ -130,6 +137,8 @@
     event_journal& m_journal;
     model_conditions& m_conditions;
     std::array<stream_log, 3> m_streams;
+    std::uint64_t m_era{};                            ///< number of restores
+    std::map<std::size_t, std::uint64_t> m_seen_eras; ///< by process
     std::list<waiting_read> m_waiting;
     std::function<void(const sent_append&)> m_on_append;
     route_table m_routes;
--- a/tests/src/unit-restored_claims.cpp
+++ b/tests/src/unit-restored_claims.cpp
@@ -30,8 +30,8 @@
     return record;
 }
 
-/// A process with the ownership stream of a store of era 1, which ends its run when it has appended
-/// a record.
+/// A process with the ownership stream of a store of era 1. Its run ends when it has appended a
+/// record, or some time after the last restore of the store.
 struct claiming_process
 {
     explicit claiming_process(bool is_first_start)
@@ -58,7 +58,7 @@
         return settings;
     }
 
-    static coordinator_channels make_channels()
+    coordinator_channels make_channels()
     {
         coordinator_channels result;
         result.push = [](const auto&...) {};
@@ -67,6 +67,7 @@
         result.announce_evacuations = [](const auto&...) {};
         result.announce_leaving = [](const auto&...) {};
         result.announce_crashes = [](const auto&...) {};
+        result.call_worker = [this](const auto&...) { return call(); };
         return result;
     }
 
@@ -74,7 +75,7 @@
     {
         platform_calls result;
         result.newest = [this](platform_stream) { return list(); };
-        result.read = [](platform_stream, std::uint64_t, millis) { return fail(); };
+        result.read = [this](platform_stream, std::uint64_t from, millis) { return read(from); };
         result.append_ownership = [this](std::string text, std::uint64_t)
         { return append(std::move(text)); };
         return result;
@@ -83,19 +84,38 @@
     asio::awaitable<std::optional<stream_page>> list()
     {
         stream_page page;
-        page.end = make_position(1, 5);
+        page.end = make_position(era, 5);
         if (copied)
             page.records.push_back({make_position(1, 4), "map", write_message(*copied)});
         co_return page;
     }
 
-    static asio::awaitable<std::optional<stream_page>> fail() { co_return std::nullopt; }
+    asio::awaitable<std::optional<stream_page>> read(std::uint64_t from)
+    {
+        if (era_of(from) == era)
+            co_return std::nullopt;
+        stream_page gap;
+        gap.has_gap = true;
+        co_return gap;
+    }
 
     asio::awaitable<append_outcome> append(std::string text)
     {
         appended = read_message<ownership_record>(text);
-        context.stop();
-        co_return append_outcome::unknown;
+        if (restores == 0)
+        {
+            context.stop();
+            co_return append_outcome::unknown;
+        }
+        if (era < restores)
+            ++era;
+        co_return append_outcome::done;
+    }
+
+    asio::awaitable<http_exchange> call()
+    {
+        ++worker_calls;
+        co_return http_exchange();
     }
 
     /// Checks the record of the claim: of the new era, with the owners, and with a wait.
@@ -112,6 +132,9 @@
     asio::io_context context{1};
     std::optional<ownership_record> copied;   ///< on the copy
     std::optional<ownership_record> appended; ///< by this process
+    std::uint64_t era{1};
+    std::uint64_t restores{}; ///< the last era; each append but the last is followed by a restore
+    int worker_calls{};       ///< grants and releases
     router_state state;
     key_coordinator coordinator;
 };
@@ -124,6 +147,7 @@
     CPPUNIT_TEST(a_record_of_an_earlier_coordinator_delays_no_claim);
     CPPUNIT_TEST(an_own_claim_on_the_copy_is_not_continued);
     CPPUNIT_TEST(known_owners_are_kept_after_a_first_start);
+    CPPUNIT_TEST(a_second_restore_does_not_end_the_wait);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -156,6 +180,28 @@
         it.run();
         it.check_claim();
     }
+
+    /// Guards against keys with two holders: a process that had claimed after a restore granted at
+    /// once after the next one, though the records of earlier grants were gone.
+    void a_second_restore_does_not_end_the_wait()
+    {
+        claiming_process it(false);
+        auto record = make_record(copied_version, {"127.0.0.1:3", "z", 3});
+        record.assign_slice("s", {0, key_count - 1, {"a", 1}, false, {}, {}});
+        it.copied = record;
+        it.restores = 3;
+        worker_change entry;
+        entry.id = "a";
+        entry.offset = 1;
+        entry.entry.life = {"a", 1};
+        entry.entry.service = "s";
+        entry.entry.address = "127.0.0.1:4";
+        it.state.workers.apply(entry, boot_clock::now());
+        it.run();
+        CPPUNIT_ASSERT_EQUAL(it.restores, epoch_era(it.appended->version));
+        CPPUNIT_ASSERT(it.appended->find_grant_hold() > role_lease);
+        CPPUNIT_ASSERT_EQUAL(0, it.worker_calls);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(unit_restored_claims);
--- a/tests/src/unit-restored_store.cpp
+++ b/tests/src/unit-restored_store.cpp
@@ -99,6 +99,9 @@
     CPPUNIT_TEST(a_claim_keeps_the_wait_on_record);
     CPPUNIT_TEST(a_claim_without_a_restore_waits_for_nothing);
     CPPUNIT_TEST(a_term_grants_nothing_before_its_wait_has_ended);
+    CPPUNIT_TEST(a_later_term_keeps_the_wait);
+    CPPUNIT_TEST(a_claim_after_a_restore_keeps_a_longer_wait_on_record);
+    CPPUNIT_TEST(a_term_lapses_unless_it_is_confirmed);
     CPPUNIT_TEST(a_live_worker_that_the_copy_lacks_is_kept);
     CPPUNIT_TEST(a_worker_that_does_not_return_is_removed);
     CPPUNIT_TEST(a_worker_that_left_is_not_revived);
@@ -174,9 +177,44 @@
         CPPUNIT_ASSERT(term.grant_hold(start_time + step) == millis(400));
         CPPUNIT_ASSERT(term.may_grant(start_time + millis(500)));
         CPPUNIT_ASSERT(term.grant_hold(start_time + millis(600)) == millis(0));
+    }
+
+    /// Guards against keys with two holders after a second restore: the coordinator that waits for
+    /// the leases of lost records begins another term, or learns of a shorter wait.
+    void a_later_term_keeps_the_wait()
+    {
+        coordinator_term term;
+        term.begin(1, start_time, start_time);
         term.hold_grants(start_time + millis(2'000));
-        term.begin(2, start_time, start_time); // a later term has its own wait
-        CPPUNIT_ASSERT(term.may_grant(start_time));
+        term.end();
+        term.begin(2, start_time, start_time);
+        CPPUNIT_ASSERT(!term.may_grant(start_time + millis(1'999)));
+        CPPUNIT_ASSERT(term.grant_hold(start_time) == millis(2'000));
+        term.hold_grants(start_time + millis(500));
+        term.hold_grants({});
+        CPPUNIT_ASSERT(!term.may_grant(start_time + millis(1'999)));
+        CPPUNIT_ASSERT(term.may_grant(start_time + millis(2'000)));
+    }
+
+    /// Guards against a claim after a second restore that cuts the wait on record short.
+    void a_claim_after_a_restore_keeps_a_longer_wait_on_record()
+    {
+        const millis longer = 2 * (role_lease + lease);
+        const auto base = make_base(first_version_of(1, 0), longer);
+        const role_claim claim(base, make_claimant(2, true), start_time);
+        CPPUNIT_ASSERT(claim.grants_from() == start_time + longer);
+        CPPUNIT_ASSERT(claim.record().find_grant_hold() == longer);
+    }
+
+    void a_term_lapses_unless_it_is_confirmed()
+    {
+        coordinator_term term;
+        term.begin(1, start_time, start_time);
+        CPPUNIT_ASSERT(!term.has_lapsed(start_time + role_lease - millis(1)));
+        CPPUNIT_ASSERT(term.has_lapsed(start_time + role_lease));
+        CPPUNIT_ASSERT(!term.may_grant(start_time + role_lease));
+        term.confirm(start_time + step);
+        CPPUNIT_ASSERT(!term.has_lapsed(start_time + role_lease));
     }
 
     void a_live_worker_that_the_copy_lacks_is_kept()
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -63,6 +63,10 @@
     --only=lost_answers,late_appends,kill_coordinator,strike_claimer,freeze_coordinator
   check "model of the workers' entries, 12 processes" build/ownership_model --first_seed=400 --seeds=20 --seconds=60 --brief \
     --only=foreign_entry,worker_compaction,unlist_workers,kill_process,kill_coordinator,cut_store,blind_coordinator
+  check "model of key ownership, restored store" build/ownership_model --seeds=60 --seconds=60 --brief \
+    --only=restore_store,kill_coordinator,kill_all,stop_coordinator,strike_claimer,lost_answers,late_appends
+  check "model of key ownership, restored store and lost coordinators" build/ownership_model --first_seed=1340 --seeds=40 \
+    --seconds=60 --brief --only=restore_store,isolate_coordinator,blind_coordinator,cut_store,lost_successors
   check "model of key ownership, 300 processes" build/ownership_model --processes=300 --first_seed=28 --seeds=2 --seconds=50 --brief \
     --only=lost_answers,late_appends,kill_coordinator,strike_claimer,stop_coordinator,slow_store,freeze_coordinator
   check "fault soak, two seeds" build/soak --first_seed=1 --seeds=2
