HTTP: the memory of all replies that are being received is bounded in sum

Reported by operators of a similar system: a faulty worker sends bytes without end, and the machine that called it runs out of memory. Here one reply at a time was bounded, the sum over workers and connections was not.

Cause: bodies counted toward the budget from 64 KB on, what frames them never; replies to grants were in no budget; a reply that needed memory failed, whoever held it; and Beast's read operations return only when a part of a message is whole, so no check ran meanwhile.

Change: memory_holder is one reservation, and receive_budget ends the largest one that can be ended, request or reply. A reply counts from 4 KB on, by its capacity and with its buffer; received replies keep their reservation until they were sent. receive_some parses after each read, on both sides. What is not parsed yet of a reply has 16 KB at most.

--- a/include/eelgrassrail/http/message.hpp
+++ b/include/eelgrassrail/http/message.hpp
@@ -11,6 +11,7 @@
 {
 
 class body_blocks;
+class memory_holder;
 
 /// One header field.
 struct header_field
@@ -35,6 +36,7 @@
     unsigned status{200};
     std::vector<header_field> fields;
     std::string body;
+    std::shared_ptr<memory_holder> memory{}; ///< keeps the memory of a received body reserved
 };
 
 /// @brief The value of the first header field of this name, compared without case; std::nullopt
--- a/include/eelgrassrail/http/receive_budget.hpp
+++ b/include/eelgrassrail/http/receive_budget.hpp
@@ -5,15 +5,16 @@
 /// small VM.
 #pragma once
 
-#include <algorithm>
+#include <eelgrassrail/http/memory_holder.hpp>
+
+#include <boost/intrusive/list.hpp>
+
 #include <cstddef>
-#include <functional>
-#include <utility>
 
 namespace eelgrassrail
 {
 
-/// Counts the reserved bytes. Clients reserve only what exceeds a fixed allowance for each body.
+/// Counts the reserved bytes. Holders reserve only what exceeds a fixed allowance for each.
 class receive_budget
 {
   public:
@@ -25,31 +26,22 @@
 
     /// @brief Reserves bytes.
     /// @return false if fewer are left; then nothing is reserved
-    [[nodiscard]] bool reserve(std::size_t bytes) noexcept
-    {
-        if (bytes > m_max_bytes - m_reserved)
-            return false;
-        m_reserved += bytes;
-        m_peak = std::max(m_peak, m_reserved);
-        return true;
-    }
+    [[nodiscard]] bool reserve(std::size_t bytes) noexcept;
 
-    /// @brief Reserves bytes; if fewer are left, memory of others is reclaimed as far as needed.
+    /// @brief Reserves bytes; if fewer are left, holders are ended, the largest first.
     /// @return false if that was not enough; then nothing is reserved
-    [[nodiscard]] bool reserve_or_reclaim(std::size_t bytes)
-    {
-        while (!reserve(bytes))
-            if (!m_reclaim || !m_reclaim())
-                return false;
-        return true;
-    }
-
-    /// @brief Sets a function that releases some memory that others hold; it returns false if there
-    /// is none.
-    void set_reclaim(std::function<bool()> reclaim) { m_reclaim = std::move(reclaim); }
+    [[nodiscard]] bool reserve_or_reclaim(std::size_t bytes);
 
     void release(std::size_t bytes) noexcept { m_reserved -= bytes; }
 
+    /// @brief Adds a holder that may be ended; it leaves the budget on destruction.
+    void add(memory_holder& holder) { m_holders.push_back(holder); }
+
+    /// @brief Ends the holder that has most and can be ended.
+    /// @param more_than only one that has reserved more bytes than this
+    /// @return false if there is none
+    bool abort_largest(std::size_t more_than);
+
     /// @brief Number of bytes reserved now.
     [[nodiscard]] std::size_t reserved() const noexcept { return m_reserved; }
 
@@ -57,10 +49,13 @@
     [[nodiscard]] std::size_t peak() const noexcept { return m_peak; }
 
   private:
+    using holder_list =
+        boost::intrusive::list<memory_holder, boost::intrusive::constant_time_size<false>>;
+
     std::size_t m_max_bytes;
     std::size_t m_reserved{}; ///< invariant: at most `m_max_bytes`
     std::size_t m_peak{};
-    std::function<bool()> m_reclaim;
+    holder_list m_holders;
 };
 
 } // namespace eelgrassrail
--- a/include/eelgrassrail/http/request_ledger.hpp
+++ b/include/eelgrassrail/http/request_ledger.hpp
@@ -6,13 +6,14 @@
 #pragma once
 
 #include <eelgrassrail/core/clock.hpp>
+#include <eelgrassrail/http/memory_holder.hpp>
 
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
+#include <utility>
 
 namespace eelgrassrail
 {
@@ -27,7 +28,7 @@
 
     /// @param budget shared with the answers; none: everything is allowed
     explicit request_ledger(std::shared_ptr<receive_budget> budget);
-    ~request_ledger();
+    ~request_ledger() = default;
     request_ledger(const request_ledger&) = delete;
     request_ledger& operator=(const request_ledger&) = delete;
 
@@ -35,7 +36,7 @@
     /// @param abort called if the request is to be ended before it is complete
     number begin(instant now, std::function<void()> abort);
 
-    /// @brief Sets the memory that a request holds. Other incomplete requests that hold more are
+    /// @brief Sets the memory that a request holds. Other holders of the budget that have more are
     /// ended if that is needed.
     /// @return false if the request itself is to be ended
     [[nodiscard]] bool hold(number id, std::size_t bytes);
@@ -49,10 +50,6 @@
     /// @brief Removes a request and releases its memory.
     void end(number id);
 
-    /// @brief Ends the incomplete request that holds most.
-    /// @return false if none holds memory of the budget
-    bool abort_largest();
-
     /// @brief Ends the request that has been incomplete for longest.
     /// @param before only one that began before this instant
     /// @return false if there is none
@@ -67,15 +64,16 @@
   private:
     struct request
     {
+        request(instant at, std::shared_ptr<receive_budget> budget, std::function<void()> abort)
+            : began(at)
+            , memory(std::move(budget), free_bytes, std::move(abort))
+        {
+        }
+
         instant began;
-        std::function<void()> abort; ///< empty once the request is complete or was ended
-        std::size_t reserved{};
+        memory_holder memory; ///< can be ended until the request is complete
     };
 
-    [[nodiscard]] bool reserve(request& of, std::size_t bytes);
-    [[nodiscard]] request* largest();
-    void abort(request& victim);
-
     std::shared_ptr<receive_budget> m_budget;
     std::map<number, request> m_requests;
     number m_next{1};
--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -1,6 +1,8 @@
 /// Reading of the requests of one connection, on Boost.Beast.
 #include "caller_connection.hpp"
 
+#include "receive_some.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -175,6 +177,8 @@
     m_waits = true;
     if (m_exchanges.empty())
         begin_idle();
+    if (m_buf.capacity() > read_bytes)
+        m_buf.shrink_to_fit(); // it is empty, and counts for no request while there is none
     m_stream.expires_never();
     auto n = co_await m_stream.async_read_some(m_buf.prepare(read_bytes),
                                                asio::redirect_error(asio::use_awaitable, ec));
@@ -213,8 +217,7 @@
     beast::error_code ec;
     while (!ec.failed() && !m_aborted && !into->is_done())
     {
-        co_await http::async_read_some(m_stream, m_buf, *into,
-                                       asio::redirect_error(asio::use_awaitable, ec));
+        ec = co_await receive_some(m_stream, m_buf, *into);
         if (ec.failed() || m_aborted)
             break;
         if (!m_state->requests->hold(id, into->get().body().capacity() + m_buf.capacity()))
--- a/src/http/caller_responses.cpp
+++ b/src/http/caller_responses.cpp
@@ -136,7 +136,8 @@
     m_is_last = m_is_last || !response.keep_alive();
     if (item.is_head)
         response.body().clear();
-    m_state->requests->hold_answer(item.id, response.body().size());
+    // The request is not needed any more. A received body is held by its reply.
+    m_state->requests->hold_answer(item.id, item.reply.memory ? 0 : response.body().size());
     beast::error_code ec;
     m_stream.expires_after(m_state->limits.header_timeout);
     co_await http::async_write(m_stream, response, asio::redirect_error(asio::use_awaitable, ec));
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,4 +1,5 @@
 /// HTTP client with a connection pool, on Boost.Beast.
+#include "receive_some.hpp"
 #include <eelgrassrail/http/block_body.hpp>
 #include <eelgrassrail/http/client.hpp>
 #include <eelgrassrail/http/receive_budget.hpp>
@@ -33,52 +34,19 @@
 
 /// Maximum received bytes of a connection that are not parsed yet. Heads are limited, but chunk
 /// headers and trailers have no limit of their own.
-constexpr std::size_t max_unparsed_bytes = 64UL * 1024;
+constexpr std::size_t max_unparsed_bytes = 16UL * 1024;
 
 /// An idle connection with a larger buffer releases it.
 constexpr std::size_t max_idle_buffer_bytes = 4UL * 1024;
 constexpr millis connect_timeout{300};
 
-/// Size up to which a body needs no budget.
-constexpr std::size_t unbudgeted_body_bytes = 64UL * 1024;
+/// Memory of a reply that needs no budget.
+constexpr std::size_t free_reply_bytes = 4UL * 1024;
 
 /// Limit on the replies skipped in one exchange: interim (1xx) ones and late ones of earlier
 /// exchanges.
 constexpr std::size_t max_skipped_replies = 8;
 
-/// Bytes of the budget reserved for one body; released on destruction.
-class budget_reservation
-{
-  public:
-    explicit budget_reservation(receive_budget* budget) noexcept
-        : m_budget(budget)
-    {
-    }
-    ~budget_reservation()
-    {
-        if (m_budget != nullptr)
-            m_budget->release(m_reserved);
-    }
-    budget_reservation(const budget_reservation&) = delete;
-    budget_reservation& operator=(const budget_reservation&) = delete;
-
-    /// @return false if the budget does not allow a body of this size
-    [[nodiscard]] bool grow(std::size_t body)
-    {
-        const auto required = body > unbudgeted_body_bytes ? body - unbudgeted_body_bytes : 0;
-        if (m_budget == nullptr || required <= m_reserved)
-            return true;
-        if (!m_budget->reserve_or_reclaim(required - m_reserved))
-            return false;
-        m_reserved = required;
-        return true;
-    }
-
-  private:
-    receive_budget* m_budget;
-    std::size_t m_reserved{};
-};
-
 struct connection
 {
     explicit connection(const asio::any_io_executor& executor)
@@ -334,7 +302,8 @@
         parser.body_limit(max_body_bytes);
         parser.header_limit(max_head_bytes);
         parser.skip(expected.is_head);
-        budget_reservation memory(budget.get());
+        const auto memory = std::make_shared<memory_holder>(budget, free_reply_bytes,
+                                                            [&used] { used.stream.cancel(); });
         auto ec = co_await receive_head(used);
         const bool has_received = used.buf.size() > 0;
         if (!ec.failed())
@@ -342,9 +311,9 @@
                                              asio::redirect_error(asio::use_awaitable, ec));
         while (!ec.failed() && !parser.is_done())
         {
-            co_await http::async_read_some(used.stream, used.buf, parser,
-                                           asio::redirect_error(asio::use_awaitable, ec));
-            if (!memory.grow(parser.get().body().size()))
+            ec = co_await receive_some(used.stream, used.buf, parser);
+            // What frames the body is held too: chunk headers and trailers may be long.
+            if (!memory->hold(parser.get().body().capacity() + used.buf.capacity()))
                 ec = http::error::body_limit;
             // The stream's timer does not fire while every read completes immediately.
             else if (!ec.failed() && !parser.is_done() && boot_clock::now() >= expected.until)
@@ -377,6 +346,9 @@
         result.result = exchange_result::complete;
         // A duplicate of a reply without an id would be taken for the reply to the next request.
         result.keep_alive = keep_alive && used.buf.size() == 0 && owner == reply_owner::named;
+        memory->keep();
+        memory->hold_always(reply.body.capacity());
+        reply.memory = memory;
         result.reply = std::move(reply);
         co_return true;
     }
--- a/src/router/worker_links.cpp
+++ b/src/router/worker_links.cpp
@@ -22,6 +22,7 @@
             link =
                 std::make_shared<worker_link>(m_executor, worker.life.id, worker.address, m_limit);
             link->requests.set_budget(m_budget);
+            link->control.set_budget(m_budget);
         }
         catch (const std::invalid_argument& e)
         {
--- a/tests/src/unit-request_ledger.cpp
+++ b/tests/src/unit-request_ledger.cpp
@@ -49,6 +49,7 @@
     CPPUNIT_TEST(small_requests_need_no_budget);
     CPPUNIT_TEST(an_answer_is_delivered_in_any_case);
     CPPUNIT_TEST(answers_reclaim_memory_of_incomplete_requests);
+    CPPUNIT_TEST(a_reply_without_end_makes_room);
     CPPUNIT_TEST(a_connection_that_waits_longest_makes_room);
     CPPUNIT_TEST(blocks_hold_little_more_than_the_body);
     CPPUNIT_TEST_SUITE_END();
@@ -118,6 +119,22 @@
         CPPUNIT_ASSERT(!it.budget->reserve_or_reclaim(budget_bytes));
     }
 
+    /// Guards against replies of faulty workers that keep out the requests and replies of others.
+    void a_reply_without_end_makes_room()
+    {
+        ledger_session it;
+        memory_holder endless(it.budget, 0, [&] { it.ended.insert("endless"); });
+        CPPUNIT_ASSERT(endless.hold(700 * kb));
+        memory_holder reply(it.budget, 0, [&] { it.ended.insert("reply"); });
+        CPPUNIT_ASSERT(reply.hold(100 * kb));
+        it.hold("upload", 300 * kb);
+        CPPUNIT_ASSERT(it.ended == std::set<std::string>{"endless"});
+        CPPUNIT_ASSERT(!endless.hold(0)); // it stays ended
+        reply.keep();
+        CPPUNIT_ASSERT(!it.budget->reserve_or_reclaim(budget_bytes));
+        CPPUNIT_ASSERT((it.ended == std::set<std::string>{"endless", "upload"}));
+    }
+
     void a_connection_that_waits_longest_makes_room()
     {
         ledger_session it;
