Ownership: a repeated answer to a grant is not the answer to a release

Cause: answers to grants and releases bear no id, and the calls shared kept connections. A worker that repeats an answer where the next one is due thereby answered a release at once.

Evidence: `moved ... source=released ms=0` for workers whose runs take 250 ms. Asking for the handover alone would not do: a repeated answer to a release bears one.

Change: releases and grants of moves use a connection that carries nothing else. Renewals keep theirs, as nothing follows from their answers.

--- a/include/eelgrassrail/http/client.hpp
+++ b/include/eelgrassrail/http/client.hpp
@@ -49,6 +49,10 @@
     millis unnamed_wait{millis::max()};
 };
 
+/// @brief Options of an exchange whose reply bears no id. It uses a connection of its own: on one
+/// that has carried another request, a repeated reply to that one could not be told from its reply.
+[[nodiscard]] exchange_options make_unnamed_exchange(instant until);
+
 /// Result of one exchange.
 struct http_exchange
 {
--- a/include/eelgrassrail/router/key_coordinator.hpp
+++ b/include/eelgrassrail/router/key_coordinator.hpp
@@ -134,7 +134,7 @@
     boost::asio::awaitable<bool> grant_to_target(const key_move& move, const std::string& handover);
     boost::asio::awaitable<void> renew(worker_entry worker, std::string service);
     boost::asio::awaitable<http_exchange> call_worker(const worker_entry& worker, http_call call,
-                                                      millis timeout,
+                                                      exchange_options options,
                                                       std::function<bool(instant)> may_write);
     boost::asio::awaitable<void> verify_role();
     boost::asio::awaitable<append_outcome> append_resignation(ownership_record record);
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -141,6 +141,15 @@
 
 } // namespace
 
+exchange_options make_unnamed_exchange(instant until)
+{
+    constexpr millis never{-1};
+    exchange_options options{.until = until};
+    options.owner_of = [](const http_reply&) { return reply_owner::unnamed; };
+    options.longest_idle = never;
+    return options;
+}
+
 struct http_client::shared
 {
     shared(asio::any_io_executor io_executor, const std::string& host_port, std::size_t limit)
--- a/src/router/key_moves.cpp
+++ b/src/router/key_moves.cpp
@@ -54,14 +54,15 @@
 
 } // namespace
 
+/// @param options deadline, and which connections are used
 /// @param may_write asked right before the call is written, as opening a connection takes time
 asio::awaitable<http_exchange> key_coordinator::call_worker(const worker_entry& worker,
-                                                            http_call call, millis timeout,
+                                                            http_call call,
+                                                            exchange_options options,
                                                             std::function<bool(instant)> may_write)
 {
     // Another process may use the address by now; it must not accept this worker's grants.
     call.fields.push_back({m_state.format.expected_worker, worker.life.id});
-    exchange_options options{.until = boot_clock::now() + timeout};
     options.may_write = [may_write = std::move(may_write)] { return may_write(boot_clock::now()); };
     auto result = co_await m_channels.call_worker(worker, std::move(call), std::move(options));
     record_exchange(worker, result, boot_clock::now());
@@ -261,7 +262,8 @@
         release.last = move.slice.last;
         release.fence = move.fence;
         auto exchange = co_await call_worker(
-            entry, m_state.format.release(release), release_timeout,
+            entry, m_state.format.release(release),
+            make_unnamed_exchange(boot_clock::now() + release_timeout),
             [this, &move](instant at) { return is_current(move) && may_grant(at); });
         const bool is_answered = exchange.result == exchange_result::complete;
         if (is_answered && refuses_releases(exchange.reply.status) &&
@@ -310,17 +312,17 @@
         grant.fence = move.fence;
         grant.lease_duration = m_grants.bounds().lease_duration;
         grant.handover = handover;
-        const auto exchange =
-            co_await call_worker(entry, m_state.format.grant(grant), grant_timeout,
-                                 [this, &move](instant at)
-                                 {
-                                     if (!is_current(move) || !may_grant(at))
-                                         return false;
-                                     // A grant that was not written can not be applied, so it
-                                     // counts only from here on.
-                                     m_grants.on_grant_sent(move.slice.owner, at);
-                                     return true;
-                                 });
+        const auto exchange = co_await call_worker(entry, m_state.format.grant(grant),
+                                                   make_unnamed_exchange(now + grant_timeout),
+                                                   [this, &move](instant at)
+                                                   {
+                                                       if (!is_current(move) || !may_grant(at))
+                                                           return false;
+                                                       // A grant that was not written can not be
+                                                       // applied, so it counts only from here on.
+                                                       m_grants.on_grant_sent(move.slice.owner, at);
+                                                       return true;
+                                                   });
         if (exchange.result == exchange_result::complete)
         {
             if (exchange.reply.status == status_ok)
@@ -379,9 +381,11 @@
         grant.last = slice.last;
         grant.fence = m_state.ownership_version;
         grant.lease_duration = m_grants.bounds().lease_duration;
-        // While the connection is opened the lease may expire and the keys be granted elsewhere.
+        // Nothing follows from the reply to a renewal but that the process answers, so a repeated
+        // one on a kept connection does no harm. While a connection is opened the lease may expire
+        // and the keys be granted elsewhere.
         const auto exchange = co_await call_worker(
-            worker, m_state.format.grant(grant), grant_timeout,
+            worker, m_state.format.grant(grant), {.until = now + grant_timeout},
             [&](instant at)
             {
                 if (!may_grant(at) || initial_epoch != epoch() || !is_unchanged(service, slice))
--- a/tests/src/unit-client.cpp
+++ b/tests/src/unit-client.cpp
@@ -1,4 +1,5 @@
 /// HTTP client against servers that send endless, duplicate, truncated or malformed responses.
+#include "byte_worker.hpp"
 #include <eelgrassrail/http/client.hpp>
 #include <eelgrassrail/http/receive_budget.hpp>
 
@@ -18,6 +19,7 @@
 #include <vector>
 
 using namespace eelgrassrail;
+using namespace eelgrassrail::test;
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
@@ -204,6 +206,7 @@
     CPPUNIT_TEST(a_body_above_the_limit_of_the_client);
     CPPUNIT_TEST(interim_replies_without_end);
     CPPUNIT_TEST(bytes_that_are_no_reply);
+    CPPUNIT_TEST(a_reply_without_an_id_is_of_the_only_request_of_its_connection);
     CPPUNIT_TEST(fifty_bodies_without_end);
     CPPUNIT_TEST(a_second_copy_is_nobodys_answer);
     CPPUNIT_TEST(an_answer_that_breaks_off_is_not_complete);
@@ -417,6 +420,49 @@
 
     void bytes_that_are_no_reply() { check_single("", filler); }
 
+    /// Guards against a repeated reply to an earlier request that counts as the reply to one which
+    /// bears no id.
+    void a_reply_without_an_id_is_of_the_only_request_of_its_connection()
+    {
+        asio::io_context context{1};
+        byte_worker server(context,
+                           [](const byte_request& request)
+                           {
+                               const std::string first =
+                                   "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
+                               const std::string own =
+                                   "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown";
+                               byte_answer answer;
+                               if (request.nth == 0 || request.position > 0)
+                                   answer.steps.push_back({first, {}});
+                               if (request.nth > 0)
+                                   answer.steps.push_back({own, millis(20)});
+                               return answer;
+                           });
+        http_client client(context.get_executor(), server.address(), 1);
+        std::vector<std::string> bodies;
+        asio::co_spawn(
+            context,
+            [&]() -> asio::awaitable<void>
+            {
+                http_call call;
+                call.method = "POST";
+                call.target = "/";
+                const auto until = boot_clock::now() + exchange_timeout;
+                const auto kept = co_await client.exchange(call, until);
+                bodies.push_back(kept.reply.body);
+                const auto options = make_unnamed_exchange(until);
+                const auto alone = co_await client.exchange(call, options);
+                bodies.push_back(alone.reply.body);
+                context.stop();
+            },
+            asio::detached);
+        context.run_for(std::chrono::seconds(20));
+        CPPUNIT_ASSERT((bodies == std::vector<std::string>{"first", "own"}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), server.connections());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), client.connections());
+    }
+
     /// All workers of a service send endless bodies. A small VM has 160 MB of memory; the limit of
     /// 8 MB for each of fifty bodies alone would allow 400 MB.
     void fifty_bodies_without_end()
