HTTP: a request with an unknown transfer coding is refused

Cause: the parser takes a request with a coding that it does not know, and no length, for one without a body; nothing checked the field. The end of such a body is not known (RFC 9112, 6.3).

Change: any other framing than a length or exactly `chunked` gets 400, and the connection is closed; `chunked` in HTTP/1.0 too. All listeners share the check.

Ruled out: a listener that loses its place after a body (the head alone was answered at once).

Red before: unit_listener::a_body_of_unknown_length_is_no_request. Bodies in chunks are still served: ::a_body_in_chunks_is_served.

--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -7,12 +7,13 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/read.hpp>
 
 #include <algorithm>
 #include <array>
 #include <exception>
+#include <iterator>
 #include <utility>
 
 namespace eelgrassrail
@@ -45,6 +46,17 @@
            ec == asio::error::eof || ec == http::error::partial_message;
 }
 
+/// Whether the end of the body is known. The parser takes a request with a transfer coding that it
+/// does not know for one without a body, and what follows for the next request.
+template <class Message>
+bool has_known_framing(const Message& request)
+{
+    constexpr unsigned first_with_codings = 11; // HTTP/1.1
+    const auto [first, last] = request.equal_range(http::field::transfer_encoding);
+    return first == last || (request.version() >= first_with_codings && std::next(first) == last &&
+                             beast::iequals(first->value(), "chunked"));
+}
+
 /// Whether a request may be served together with others of its connection.
 template <class Message>
 bool is_concurrent(const Message& request)
@@ -220,7 +232,9 @@
         ec = co_await receive_some(m_stream, m_buf, *into);
         if (ec.failed() || m_aborted)
             break;
-        if (!m_state->requests->hold(id, into->get().body().capacity() + m_buf.capacity()))
+        if (into->is_header_done() && !has_known_framing(into->get()))
+            ec = http::error::bad_transfer_encoding;
+        else if (!m_state->requests->hold(id, into->get().body().capacity() + m_buf.capacity()))
             m_aborted = true;
         else if (!into->is_done() && boot_clock::now() >= until)
             ec = beast::error::timeout;
--- a/tests/src/unit-listener.cpp
+++ b/tests/src/unit-listener.cpp
@@ -158,6 +158,41 @@
     std::string received; ///< first bytes
 };
 
+/// What a listener answers to some bytes, and the targets of the requests that it serves.
+struct framing_outcome
+{
+    explicit framing_outcome(const std::string& bytes)
+    {
+        constexpr unsigned short port = 20'194;
+        constexpr std::chrono::seconds longest{5};
+        asio::io_context context;
+        http_listener listener(
+            context.get_executor(), {asio::ip::make_address("127.0.0.1"), port}, {},
+            [&](http_call call, const auto&) -> asio::awaitable<http_reply>
+            {
+                served.push_back(call.target);
+                co_return http_reply{};
+            },
+            [](request_defect)
+            {
+                http_reply reply;
+                reply.status = 400;
+                return reply;
+            });
+        listener.start();
+        asio::ip::tcp::socket caller(context);
+        caller.connect({asio::ip::make_address("127.0.0.1"), port});
+        asio::write(caller, asio::buffer(bytes));
+        caller.shutdown(asio::socket_base::shutdown_send);
+        asio::async_read(caller, asio::dynamic_buffer(answer),
+                         [&](const boost::system::error_code&, std::size_t) { context.stop(); });
+        context.run_for(longest);
+    }
+
+    std::vector<std::string> served;
+    std::string answer;
+};
+
 const std::string chunked_head = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
 const std::string filler(16UL * 1024, 'x');
 
@@ -179,6 +214,8 @@
     CPPUNIT_TEST(a_chunk_header_without_end_is_cut_off);
     CPPUNIT_TEST(chunks_that_are_nearly_all_header_time_out);
     CPPUNIT_TEST(input_without_end_after_a_refusal_is_cut_off);
+    CPPUNIT_TEST(a_body_of_unknown_length_is_no_request);
+    CPPUNIT_TEST(a_body_in_chunks_is_served);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -266,5 +303,40 @@
         endless_caller it;
         CPPUNIT_ASSERT(it.send("no request\r\n\r\n", filler) < tolerance);
     }
+
+    /// Guards against an upload whose body runs as a request of its own, while the upload runs
+    /// without it: the length of a body with an unknown transfer coding is not known.
+    void a_body_of_unknown_length_is_no_request()
+    {
+        const std::string hidden = "POST /hidden HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
+        const std::string field = "\r\nTransfer-Encoding: ";
+        for (const std::string framing :
+             {"gzip", "identity", "chunkedx", "gzip, chunked", "chunked, gzip", "chunked, chunked",
+              "\"chunked\"", "", ",", "chunked\r\n x", "gzip\r\nTransfer-Encoding: chunked",
+              "chunked\r\nTransfer-Encoding: gzip", "chunked\r\nContent-Length: 5",
+              "gzip\r\nContent-Length: 0"})
+            for (const std::string start : {"POST /upload HTTP/1.1", "GET /upload HTTP/1.1"})
+            {
+                const framing_outcome it(start + "\r\nHost: h" + field + framing + "\r\n\r\n" +
+                                         hidden);
+                CPPUNIT_ASSERT_MESSAGE(start + field + framing, it.served.empty());
+                CPPUNIT_ASSERT_MESSAGE(start + field + framing + it.answer,
+                                       it.answer.starts_with("HTTP/1.1 400"));
+            }
+        const framing_outcome old("POST /upload HTTP/1.0" + field + "chunked\r\n\r\n0\r\n\r\n" +
+                                  hidden);
+        CPPUNIT_ASSERT(old.served.empty());
+    }
+
+    void a_body_in_chunks_is_served()
+    {
+        for (const std::string coding : {"chunked", "Chunked", " chunked "})
+        {
+            const framing_outcome it("POST /upload HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: " +
+                                     coding + "\r\n\r\n1\r\nx\r\n0\r\n\r\n");
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), it.served.size());
+            CPPUNIT_ASSERT(it.answer.starts_with("HTTP/1.1 200"));
+        }
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(unit_listener);
