HTTP: responses that wait for a slow caller give way when memory is short

Cause: a reply's reservation ended with its exchange, and the connection reserved the memory again only when the reply was next to be sent. Replies behind it were in no budget.

Change: the connection holds the memory of the replies that it waits to send, without a gap, and can be ended for it: of all that can give way the largest does. Only replies to concurrent requests are dropped, which are safe to repeat. The new metric body_memory_ended counts what was ended.

Red before: unit_pipelining::responses_that_wait_for_a_slow_caller_give_way (the memory of another reply was refused).

--- a/include/eelgrassrail/http/receive_budget.hpp
+++ b/include/eelgrassrail/http/receive_budget.hpp
@@ -10,6 +10,7 @@
 #include <boost/intrusive/list.hpp>
 
 #include <cstddef>
+#include <cstdint>
 
 namespace eelgrassrail
 {
@@ -42,6 +43,12 @@
     /// @return false if there is none
     bool abort_largest(std::size_t more_than);
 
+    /// @brief Counts a holder that was ended.
+    void on_ended() noexcept { ++m_ended; }
+
+    /// @brief Number of holders that were ended.
+    [[nodiscard]] std::uint64_t ended() const noexcept { return m_ended; }
+
     /// @brief Number of bytes reserved now.
     [[nodiscard]] std::size_t reserved() const noexcept { return m_reserved; }
 
@@ -55,6 +62,7 @@
     std::size_t m_max_bytes;
     std::size_t m_reserved{}; ///< invariant: at most `m_max_bytes`
     std::size_t m_peak{};
+    std::uint64_t m_ended{};
     holder_list m_holders;
 };
 
--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -36,6 +36,9 @@
 /// Bodies up to this size are handed over as one string.
 constexpr std::size_t max_string_body_bytes = 64UL * 1024;
 
+/// Memory of the replies that a connection waits to send which needs no budget.
+constexpr std::size_t free_ready_bytes = 4UL * 1024;
+
 /// Bytes read at a time while no request has begun, and from callers that are being closed.
 constexpr std::size_t read_bytes = 4096;
 
@@ -71,6 +74,7 @@
                                      asio::ip::tcp::socket socket)
     : m_state(std::move(state))
     , m_stream(std::move(socket))
+    , m_ready_memory(m_state->budget, free_ready_bytes, [this] { drop(); })
     , m_changed(m_stream.get_executor(), asio::steady_timer::time_point::max())
     , m_idle_timer(m_stream.get_executor())
 {
@@ -111,6 +115,13 @@
     --m_state->open;
 }
 
+/// Closes the connection of a caller that reads too slowly for the memory that its responses take.
+void caller_connection::drop()
+{
+    m_stream.close();
+    on_gone();
+}
+
 /// The caller can receive no response any more.
 void caller_connection::on_gone()
 {
--- a/src/http/caller_connection.hpp
+++ b/src/http/caller_connection.hpp
@@ -4,6 +4,7 @@
 #include "listener_state.hpp"
 #include <eelgrassrail/http/block_body.hpp>
 #include <eelgrassrail/http/caller_watch.hpp>
+#include <eelgrassrail/http/memory_holder.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -51,6 +52,7 @@
         request_ledger::number id{};
         std::shared_ptr<caller_watch> watch;
         http_reply reply;
+        std::size_t ready_bytes{}; ///< of the reply, part of `m_ready_bytes`
         bool is_head{};
         bool keep_alive{};
         bool is_ready{};
@@ -70,6 +72,9 @@
     boost::asio::awaitable<void> refuse(boost::beast::error_code ec);
     boost::asio::awaitable<void> wait_until_answered();
     boost::asio::awaitable<void> discard_remaining_input();
+    void hold_ready(exchange& item);
+    void release_ready(exchange& item);
+    void drop();
     void on_gone();
     void watch_for_close();
     void begin_idle();
@@ -80,6 +85,10 @@
     boost::beast::tcp_stream m_stream;
     boost::beast::flat_buffer m_buf;
     std::deque<std::shared_ptr<exchange>> m_exchanges; ///< in the order of the requests
+    /// Replies to concurrent requests that are not sent yet. They can be dropped, as such requests
+    /// are safe to repeat.
+    memory_holder m_ready_memory;
+    std::size_t m_ready_bytes{};         ///< memory that they take
     boost::asio::steady_timer m_changed; ///< canceled when an exchange ends; one task waits
     boost::asio::steady_timer m_idle_timer;
     instant m_idle_since{};
--- a/src/http/caller_responses.cpp
+++ b/src/http/caller_responses.cpp
@@ -59,10 +59,27 @@
     }
     item->watch->on_gone({});
     item->watch->set_close_check({});
+    hold_ready(*item);
     item->is_ready = true;
     co_await write_ready();
 }
 
+/// Moves the memory of a reply to that of the connection. If the connection holds too much, it is
+/// dropped.
+void caller_connection::hold_ready(exchange& item)
+{
+    item.reply.memory.reset();
+    item.ready_bytes = item.reply.body.capacity();
+    m_ready_bytes += item.ready_bytes;
+    static_cast<void>(m_ready_memory.hold(m_ready_bytes));
+}
+
+void caller_connection::release_ready(exchange& item)
+{
+    m_ready_bytes -= std::exchange(item.ready_bytes, 0);
+    static_cast<void>(m_ready_memory.hold(m_ready_bytes));
+}
+
 /// Serves a request while nothing is read from the connection.
 asio::awaitable<http_reply> caller_connection::handle_alone(http_call call)
 {
@@ -117,6 +134,7 @@
         }
         if (!m_is_gone)
             co_await write(*item);
+        release_ready(*item);
         m_state->requests->end(item->id);
         m_exchanges.pop_front();
         m_changed.cancel();
@@ -136,8 +154,9 @@
     m_is_last = m_is_last || !response.keep_alive();
     if (item.is_head)
         response.body().clear();
-    // The request is not needed any more. A received body is held by its reply.
-    m_state->requests->hold_answer(item.id, item.reply.memory ? 0 : response.body().size());
+    // The request is not needed any more. A received body is held by its reply or the connection.
+    const bool is_held = item.reply.memory || item.ready_bytes > 0;
+    m_state->requests->hold_answer(item.id, is_held ? 0 : response.body().size());
     beast::error_code ec;
     m_stream.expires_after(m_state->limits.header_timeout);
     co_await http::async_write(m_stream, response, asio::redirect_error(asio::use_awaitable, ec));
--- a/src/http/memory_holder.cpp
+++ b/src/http/memory_holder.cpp
@@ -64,6 +64,8 @@
 {
     m_was_ended = true;
     static_cast<void>(reserve(0));
+    if (m_budget)
+        m_budget->on_ended();
     if (const auto call = std::exchange(m_abort, {}))
         call();
 }
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -353,6 +353,7 @@
     counters.set("callers_aborted", static_cast<double>(m_callers.aborted()));
     counters.set("body_memory_bytes", static_cast<double>(m_body_budget->reserved()));
     counters.set("body_memory_peak_bytes", static_cast<double>(m_body_budget->peak()));
+    counters.set("body_memory_ended", static_cast<double>(m_body_budget->ended()));
     counters.set("coordinates", m_coordinator.is_active() ? 1.0 : 0.0);
     counters.set("processes_known", static_cast<double>(m_state.members.size()));
     std::size_t slices = 0;
--- a/tests/src/unit-pipelining.cpp
+++ b/tests/src/unit-pipelining.cpp
@@ -1,6 +1,7 @@
 /// Several requests on one connection of a caller before the first response: which of them run at
 /// the same time, the order of the responses, and the end of the connection. On loopback.
 #include <eelgrassrail/http/listener.hpp>
+#include <eelgrassrail/http/receive_budget.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -15,6 +16,7 @@
 #include <array>
 #include <functional>
 #include <map>
+#include <memory>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -144,6 +146,52 @@
     tcp::socket m_caller;
 };
 
+constexpr std::size_t mb = 1024UL * 1024;
+
+/// A listener with a memory budget, whose replies are large, and a caller that does not read them.
+struct crowded_listener
+{
+    static constexpr std::size_t reply_bytes = 2 * mb;
+    static constexpr std::size_t requests = 8;
+
+    crowded_listener()
+        : budget(std::make_shared<receive_budget>(requests * reply_bytes + mb))
+        , listener(
+              context.get_executor(), {asio::ip::address_v4::loopback(), port}, {},
+              [this](const http_call&, const auto&) { return handle(); },
+              [](request_defect) { return http_reply{}; })
+        , caller(context)
+    {
+        listener.set_budget(budget);
+        listener.start();
+        caller.open(tcp::v4());
+        caller.set_option(asio::socket_base::receive_buffer_size(4'096));
+        caller.connect({asio::ip::address_v4::loopback(), port});
+    }
+
+    /// Holds the memory of its reply, as the client does that receives it from a worker.
+    asio::awaitable<http_reply> handle()
+    {
+        http_reply reply;
+        reply.body.assign(reply_bytes, 'x');
+        reply.memory = std::make_shared<memory_holder>(budget, 0, std::function<void()>());
+        served += reply.memory->hold(reply_bytes) ? 1 : 0;
+        co_return reply;
+    }
+
+    void run()
+    {
+        context.run_for(std::chrono::milliseconds(300));
+        context.restart();
+    }
+
+    asio::io_context context{1};
+    std::shared_ptr<receive_budget> budget;
+    http_listener listener;
+    tcp::socket caller;
+    std::size_t served{};
+};
+
 } // namespace
 
 class unit_pipelining : public CppUnit::TestFixture
@@ -157,6 +205,7 @@
     CPPUNIT_TEST(a_failed_handler_ends_the_connection_after_earlier_responses);
     CPPUNIT_TEST(a_stop_answers_what_was_passed_on_before_it_closes);
     CPPUNIT_TEST(a_close_of_the_caller_ends_after_the_last_response);
+    CPPUNIT_TEST(responses_that_wait_for_a_slow_caller_give_way);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -279,6 +328,26 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), it.begun.size());
         CPPUNIT_ASSERT(it.has_received("answer to /b"));
     }
+
+    /// Guards against callers that send many requests at once and read slowly: their responses use
+    /// up the memory, and the replies to others find none.
+    void responses_that_wait_for_a_slow_caller_give_way()
+    {
+        crowded_listener it;
+        std::string text;
+        for (std::size_t n = 0; n < crowded_listener::requests; ++n)
+            text += get("/x");
+        asio::write(it.caller, asio::buffer(text));
+        it.run();
+        CPPUNIT_ASSERT_EQUAL(crowded_listener::requests, it.served);
+        CPPUNIT_ASSERT(it.budget->reserved() > 2 * crowded_listener::reply_bytes);
+        memory_holder other(it.budget, 0, {});
+        const auto wanted = crowded_listener::requests * crowded_listener::reply_bytes;
+        CPPUNIT_ASSERT(other.hold(wanted));
+        it.run();
+        CPPUNIT_ASSERT_EQUAL(wanted, it.budget->reserved());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), it.listener.connections());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(unit_pipelining);
--- a/tests/src/unit-request_ledger.cpp
+++ b/tests/src/unit-request_ledger.cpp
@@ -133,6 +133,7 @@
         reply.keep();
         CPPUNIT_ASSERT(!it.budget->reserve_or_reclaim(budget_bytes));
         CPPUNIT_ASSERT((it.ended == std::set<std::string>{"endless", "upload"}));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), it.budget->ended());
     }
 
     void a_connection_that_waits_longest_makes_room()
