--- a/src/router/key_moves.cpp
+++ b/src/router/key_moves.cpp
@@ -384,8 +384,9 @@
         // Nothing follows from the reply to a renewal but that the process answers, so a repeated
         // one on a kept connection does no harm. While a connection is opened the lease may expire
         // and the keys be granted elsewhere.
+        exchange_options options{.until = now + grant_timeout};
         const auto exchange = co_await call_worker(
-            worker, m_state.format.grant(grant), {.until = now + grant_timeout},
+            worker, m_state.format.grant(grant), std::move(options),
             [&](instant at)
             {
                 if (!may_grant(at) || initial_epoch != epoch() || !is_unchanged(service, slice))
