--- a/include/eelgrassrail/http/client.hpp
+++ b/include/eelgrassrail/http/client.hpp
@@ -49,8 +49,8 @@
     millis unnamed_wait{millis::max()};
 };
 
-/// @brief Options of an exchange whose reply bears no id. It uses a connection of its own: on one
-/// that has carried another request, a repeated reply to that one could not be told from its reply.
+/// @brief Options of an exchange whose reply bears no id. It opens a connection for this exchange
+/// only: on a kept one, the peer may repeat its reply to an earlier request.
 [[nodiscard]] exchange_options make_unnamed_exchange(instant until);
 
 /// Result of one exchange.
