--- a/review/kit-3/growing_record_case.cpp
+++ b/review/kit-3/growing_record_case.cpp
@@ -1,6 +1,6 @@
 /// Hot keys that change, a rolling release of the workers, and the final fault (all processes of
 /// the system are killed): is a quarter of the requests served again after the recovery time?
-#include "log_record_bytes.hpp"
+#include "../../tests/standins/log_record_bytes.hpp"
 #include "loopback_site.hpp"
 #include <eelgrassrail/http/client.hpp>
 
@@ -235,6 +235,7 @@
         co_await delay(millis(500));
         co_await publish_config();
         std::vector<harness::child_process> workers;
+        workers.reserve(2 * static_cast<std::size_t>(FLAGS_groups));
         for (int n = 0; n < FLAGS_groups; ++n)
             workers.push_back(start_group(n));
         m_site.start_routers(true);
--- a/review/kit-3/limited_store.cpp
+++ b/review/kit-3/limited_store.cpp
@@ -1,6 +1,6 @@
 /// Main program of a stand-in store that keeps to `max_record_bytes`: the project's stand-in behind
 /// a listener that rejects an append with a larger record.
-#include "store_standin.hpp"
+#include "../../tests/standins/store_standin.hpp"
 #include <eelgrassrail/http/client.hpp>
 #include <eelgrassrail/http/listener.hpp>
 #include <eelgrassrail/settings/net_address.hpp>
--- a/review/kit-3/loopback_site.cpp
+++ b/review/kit-3/loopback_site.cpp
@@ -85,7 +85,7 @@
                                           bool is_first_start) const
 {
     const auto at = [&](int n) { return router.ip + ":" + std::to_string(m_first_port + n); };
-    const auto file = m_paths.scratch + "/" + router.name + ".flags";
+    auto file = m_paths.scratch + "/" + router.name + ".flags";
     std::ofstream out(file, std::ios::trunc);
     constexpr int peers = 2;
     constexpr int peers_end = 17;
--- a/review/kit-3/loopback_site.hpp
+++ b/review/kit-3/loopback_site.hpp
@@ -2,7 +2,7 @@
 /// the template of the settings filled in, and the stand-ins beside it.
 #pragma once
 
-#include "child_process.hpp"
+#include "../../tests/harness/child_process.hpp"
 #include <eelgrassrail/core/clock.hpp>
 
 #include <chrono>
--- a/review/kit-3/stale_leader_case.cpp
+++ b/review/kit-3/stale_leader_case.cpp
@@ -1,8 +1,8 @@
 /// The coordinator freezes, its successor moves keys and is killed with others, and the store comes
 /// back from a copy that is older than the successor's claim: do two workers hold the same keys?
-#include "hold_check.hpp"
-#include "hold_event.hpp"
-#include "log_record_bytes.hpp"
+#include "../../tests/standins/hold_check.hpp"
+#include "../../tests/standins/hold_event.hpp"
+#include "../../tests/standins/log_record_bytes.hpp"
 #include "loopback_site.hpp"
 #include <eelgrassrail/grants/ownership_record.hpp>
 #include <eelgrassrail/http/client.hpp>
@@ -21,7 +21,6 @@
 #include <map>
 #include <memory>
 #include <random>
-#include <ranges>
 #include <set>
 #include <string>
 #include <vector>
@@ -244,6 +243,7 @@
                 R"("match":{"path_prefix":"/read/"},"action":{"service":"keys","timeout":"2000ms","max_attempts":3}}]}],)"
                 R"("clusters":[{"name":"keys","max_connections":130,"sharded":true,"warm":"3s"}]})"));
         std::vector<harness::child_process> workers;
+        workers.reserve(groups);
         for (int n = 0; n < groups; ++n)
             workers.push_back(m_site.start_stand_in(
                 "worker_group",
@@ -292,8 +292,8 @@
         m_record.add("requests sent=" + std::to_string(m_sent) + " served=" +
                      std::to_string(m_served) + ", lease events=" + std::to_string(journal.size()));
         constexpr std::size_t most_lines = 20;
-        for (const auto& text : violations | std::views::take(most_lines))
-            m_record.add("OWNER: " + text);
+        for (std::size_t n = 0; n < std::min(most_lines, violations.size()); ++n)
+            m_record.add("OWNER: " + violations[n]);
         m_record.add("cases of OWNER that count: " + std::to_string(violations.size()) +
                      ", not counted: " + std::to_string(check.excluded().size()));
         if (journal.empty() || m_served == 0 || (FLAGS_trouble && !m_has_disrupted))
--- a/review/kit-3/worker_group.cpp
+++ b/review/kit-3/worker_group.cpp
@@ -1,7 +1,7 @@
 /// Main program of several stand-in workers that leave together: at SIGTERM they report `draining`,
 /// serve for the time that the pages say and a little longer, remove their entries and end.
-#include "log_record_bytes.hpp"
-#include "worker_standin.hpp"
+#include "../../tests/standins/log_record_bytes.hpp"
+#include "../../tests/standins/worker_standin.hpp"
 #include <eelgrassrail/http/client.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -90,7 +90,7 @@
     settings.service = FLAGS_service;
     settings.zone = FLAGS_zone;
     settings.is_sharded = true;
-    settings.slots = static_cast<std::uint32_t>(FLAGS_slots);
+    settings.slots = FLAGS_slots;
     settings.run_ms = FLAGS_run_ms;
     settings.start_time_ms = FLAGS_born_ms;
     settings.prints_runs = FLAGS_prints_runs;
